--- /dev/null
+++ b/gaugesail/config.py
@@ -0,0 +1,115 @@
+"""What a head is told at its start: the platform's JSON file and its environment."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from marllift import interface as api
+from marllift.wire import WireError, parse_settings
+
+from .http.discovery import BadList, split_address
+
+
+class ConfigError(ValueError):
+    """The configuration cannot be used; the text names what is wrong."""
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the processes of a head may hold together."""
+
+    memory_mb: int = 192
+    sockets: int = 1024
+
+    @property
+    def client_connections(self) -> int:
+        return max(1, self.sockets * 6 // 10)
+
+    @property
+    def node_connections(self) -> int:
+        """The rest, but for a tenth for discovery, the listener, logs and what is still closing."""
+        return max(1, self.sockets * 3 // 10)
+
+    @property
+    def buffers(self) -> int:
+        return max(64, self.memory_mb * 1024 * 1024 // 4 // 4096)
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """A head's whole configuration."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    settings: api.Settings
+    known: Any
+    conn_idle_us: int
+    connect_timeout_us: int
+    zones: list[str]
+    kinds: list[str]
+
+
+def flatten(value: Any, path: str = "") -> list[str]:
+    """Nested JSON as the path=value lines that the module's own reader takes."""
+    if isinstance(value, dict):
+        prefix = f"{path}." if path else ""
+        return [line for key, item in value.items() for line in flatten(item, f"{prefix}{key}")]
+    if isinstance(value, list):
+        if any(isinstance(item, (dict, list)) for item in value):
+            lines = [f"{path}.count={len(value)}"]
+            return lines + [line for n, item in enumerate(value) for line in flatten(item, f"{path}.{n}")]
+        return [f"{path}={','.join(_plain(item) for item in value)}"]
+    return [f"{path}={_plain(value)}"]
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else str(value).replace("\n", "_")
+
+
+def load(environ: Mapping[str, str] | None = None) -> Config:
+    """The configuration that ``BALANCER_CONFIG`` names; the other variables stand in for what it lacks."""
+    environ = os.environ if environ is None else environ
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        data = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: an object is needed")
+    return read(data, environ)
+
+
+def read(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    """A configuration from its JSON form."""
+    settings = data.get("settings")
+    if not isinstance(settings, dict):
+        raise ConfigError("settings: an object is needed")
+    try:
+        limits, permissions = data.get("limits", {}), settings.get("permissions", {})
+        return Config(
+            name=str(data.get("name") or environ.get("BALANCER_NAME", "")),
+            listen=split_address(data.get("listen") or environ.get("BALANCER_LISTEN")),
+            discovery=split_address(data.get("discovery") or environ.get("BALANCER_DISCOVERY")),
+            seed=int(str(data.get("seed", "0")), 16),
+            limits=Limits(int(limits.get("memory_mb", 192)), int(limits.get("sockets", 1024))),
+            settings=parse_settings("\n".join(flatten(settings)).encode()),
+            known=data.get("known") or {"revision": 0, "complete": True, "members": []},
+            conn_idle_us=int(permissions.get("conn_idle_us", 15_000_000)),
+            connect_timeout_us=int(permissions.get("connect_timeout_us", 250_000)),
+            zones=[str(zone) for zone in settings.get("zones", [])],
+            kinds=[str(kind) for kind in settings.get("flavors", [])],
+        )
+    except (BadList, WireError, ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(str(error)) from None
--- /dev/null
+++ b/gaugesail/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes; no wire is known here."""
--- /dev/null
+++ b/gaugesail/core/clock.py
@@ -0,0 +1,26 @@
+"""The clock of a running head: Unix microseconds at the start, monotonic from there on.
+
+Starting at Unix time makes the one offset between the list's start times and this clock zero.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from .ports import Call, Reactor
+
+
+class ReactorClock:
+    """Time from the system, calls from the reactor."""
+
+    def __init__(self, reactor: Reactor) -> None:
+        self._reactor = reactor
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def now_us(self) -> int:
+        return (time.monotonic_ns() + self._offset) // 1000
+
+    def call_later(self, delay_us: int, call: Callable[[], None]) -> Call:
+        handle: Call = self._reactor.callLater(max(0, delay_us) / 1e6, call)
+        return handle
--- /dev/null
+++ b/gaugesail/core/engine.py
@@ -0,0 +1,316 @@
+"""The engine: owns open requests, attempts and deadlines, and carries out what the module decides.
+
+It knows no wire.  Events are gathered and given to the module once a tick; its actions are carried out
+in order.  Held here whatever the module says: one final answer a request, one attempt out, the cap on
+attempts, nothing sent after the end, and an answer while the client still waits.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from marllift import interface as api
+from marllift.decide import Gateway
+from marllift.interface import NodeId, Result
+
+from .ports import Attempt, Call, Clock, Discovery, Logger, NodeTransport, Order, Reply
+
+GUARD_US = 4_000  # the last answer leaves this long before the client's time is up
+ANY_DELAY_US = 10 * 60 * 1_000_000
+
+
+@dataclass(slots=True, eq=False)
+class _Open:
+    """A request that is owed its final answer."""
+
+    ticket: int
+    order: Order
+    reply: Reply
+    give_up_us: int
+    attempts: int = 0
+    out: Attempt | None = None
+
+
+class Engine:
+    """One head's requests, between the fronts, the module and the nodes."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Clock,
+        transport: NodeTransport,
+        discovery: Discovery,
+        log: Logger,
+        max_open: int = 4096,
+    ) -> None:
+        self._set, self._clock, self._log = settings, clock, log
+        self._transport, self._discovery = transport, discovery
+        self._gateway = Gateway(settings, seed, clock.now_us())
+        self._max_open = max_open
+        self._open: dict[int, _Open] = {}
+        self._out: dict[tuple[int, int], Attempt] = {}
+        self._names: dict[str, int] = {}  # of what is open or still out
+        self._events: list[api.Event] = []
+        self._flush: Call | None = None
+        self._heap: list[tuple[int, int, int, Any]] = []  # at, order made, what, whose
+        self._made = 0
+        self._wake: Call | None = None
+        self._wake_at = 0
+        self._next_ticket = 1
+        self._busy = False
+        self.counts: Counter[str] = Counter()
+        self.ready = False
+
+    @property
+    def idle(self) -> bool:
+        """Nothing is owed to any client."""
+        return not self._open
+
+    @property
+    def open_requests(self) -> int:
+        return len(self._open)
+
+    @property
+    def attempts_out(self) -> int:
+        return len(self._out)
+
+    def start(self, known: api.NodeList) -> None:
+        """Set the module up with the list as it was last known."""
+        self._events.append(known)
+        self._run()
+        self.ready = True
+
+    # ---- from the fronts ----
+
+    def take(self, order: Order, reply: Reply, received_us: int | None = None) -> int:
+        """Take a request; its final answer comes through ``reply``, never from inside this call."""
+        now = self._clock.now_us() if received_us is None else received_us
+        ticket, self._next_ticket = self._next_ticket, self._next_ticket + 1
+        # An id whose earlier attempt may still be out must not go out again: that would be a second copy.
+        if order.name in self._names or len(self._open) >= self._max_open:
+            self.counts["refused_at_door"] += 1
+            self._clock.call_later(0, lambda: reply.refused(self._set.max_hold_off_us))
+            return 0
+        entry = _Open(ticket, order, reply, now + order.timeout_us)
+        self._open[ticket] = entry
+        self._names[order.name] = ticket
+        self.counts["taken"] += 1
+        self._at(entry.give_up_us - GUARD_US, _DEADLINE, ticket)
+        self._feed(
+            api.Request(
+                ticket, order.kind, entry.give_up_us, order.shard, order.plan, order.units, order.key,
+                order.volume, order.mounts, order.again,
+            )
+        )  # fmt: skip
+        return ticket
+
+    def client_gone(self, ticket: int) -> None:
+        """The client left; what it has out goes on and reports to the module alone."""
+        entry = self._open.get(ticket)
+        if entry is not None:
+            self._close(entry)
+            self.counts["gone"] += 1
+            self._feed(api.ClientGone(ticket))
+
+    # ---- from the transport and discovery ----
+
+    def listed(self, news: api.NodeList) -> None:
+        """News of the list goes to the module at once: the drain rule's time runs."""
+        self._events.append(news)
+        self._run()
+
+    def probe_ended(self, node: NodeId, result: Result, elapsed_us: int) -> None:
+        self._feed(api.ProbeResult(node, result, elapsed_us))
+
+    def attempt_ended(self, attempt: Attempt, result: Result, answer: Any = None) -> None:
+        """The one end of an attempt.  A second report of it is dropped, and so are its late bytes."""
+        if attempt.done:
+            return
+        attempt.done = True
+        self._out.pop((attempt.ticket, attempt.number), None)
+        entry = self._open.get(attempt.ticket)
+        final = entry is None
+        self.counts[result.name.lower()] += 1
+        if entry is not None:
+            entry.out = None
+            if result is Result.SERVED:
+                final = True
+                self._close(entry)
+                self._tell(entry, "served", answer)
+        else:
+            self._names.pop(attempt.name, None)
+        attempt.payload = None  # the heap may hold the attempt a while yet
+        elapsed = max(0, self._clock.now_us() - attempt.sent_us)
+        self._feed(
+            api.Outcome(attempt.ticket, attempt.number, attempt.node, result, elapsed, final)
+        )
+
+    # ---- ticks ----
+
+    def _feed(self, event: api.Event) -> None:
+        self._events.append(event)
+        if self._flush is None and not self._busy:
+            self._flush = self._clock.call_later(0, self._flushed)
+
+    def _flushed(self) -> None:
+        self._flush = None
+        self._run()
+
+    def _run(self) -> None:
+        """Give the module what has come in, carry out what it says.  Never raises, never nests."""
+        if self._busy:
+            return  # the loop below takes what was just added
+        self._busy = True
+        try:
+            if self._events:
+                events, self._events = self._events, []
+                try:
+                    actions = self._gateway.handle(self._clock.now_us(), events)
+                except Exception as error:  # a fault of the module must not end the head or lose requests
+                    self._log.error("module_raised", error=repr(error), events=len(events))
+                    self.counts["module_raised"] += 1
+                    actions = [api.Fail(e.request) for e in events if isinstance(e, api.Request)]
+                for action in actions:
+                    try:
+                        self._carry_out(action)
+                    except Exception as error:  # one bad action must not take the rest with it
+                        self._log.error("action_raised", action=repr(action), error=repr(error))
+                        self.counts["action_raised"] += 1
+        finally:
+            self._busy = False
+        if self._events and self._flush is None:
+            self._flush = self._clock.call_later(0, self._flushed)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.SetTimer():
+                self._at(action.at_us, _TIMER, action.token)
+            case api.Refuse():
+                if (entry := self._open.get(action.request)) is not None:
+                    self._close(entry)
+                    self.counts["refused"] += 1
+                    self._tell(entry, "refused", action.hold_off_us)
+            case api.Fail():
+                self._fail(action.request, "failed")
+            case api.Cancel():
+                attempt = self._out.get((action.request, action.attempt))
+                if attempt is not None:
+                    self._abort(attempt, Result.CANCELLED)
+            case api.WatchList():
+                self._discovery.watch(action.on)
+            case api.FetchList():
+                self._discovery.fetch()
+            case api.Probe():
+                self._transport.probe(action.node, self)
+            case api.CloseIdle():
+                self._transport.close_idle(action.node)
+            case api.Log():
+                self._log.info("module", text=action.text)
+            case api.Tell():
+                self._log.warning("no_peers")  # heads have no way to talk to each other
+
+    def _send(self, action: api.Send) -> None:
+        entry, now = self._open.get(action.request), self._clock.now_us()
+        number = 0 if entry is None else entry.attempts
+        deadline = 0 if entry is None else entry.give_up_us - GUARD_US
+        if entry is not None and action.patience_us:
+            deadline = min(deadline, now + action.patience_us)
+        # Nothing is sent after the end, past the cap, past the time, or beside an attempt that is out.
+        if entry is None or entry.out is not None or number >= self._set.max_attempts or deadline <= now:
+            self.counts["moot_send"] += 1
+            if entry is not None and entry.out is None:
+                entry.attempts += 1
+            self._feed(api.Outcome(action.request, number, action.node, Result.MOOT, 0, entry is None))
+            return
+        order = entry.order
+        attempt = Attempt(
+            action.request, number, action.node, order.shard, order.name, order.payload, now, deadline
+        )
+        entry.attempts += 1
+        entry.out = attempt
+        self._out[(attempt.ticket, number)] = attempt
+        self.counts["sent"] += 1
+        self._at(deadline, _ATTEMPT, attempt)
+        try:
+            self._transport.send(attempt, self)
+        except Exception as error:  # whatever the transport meets, the attempt must end
+            self._log.error("send_raised", error=repr(error))
+            self._abort(attempt, Result.RESET)
+
+    def _abort(self, attempt: Attempt, result: Result) -> None:
+        """End an attempt from here: its connection is aborted before anything else may be sent."""
+        try:
+            self._transport.abort(attempt)
+        except Exception as error:  # its outcome is owed all the same
+            self._log.error("abort_raised", error=repr(error))
+        self.attempt_ended(attempt, result)
+
+    # ---- final answers ----
+
+    def _close(self, entry: _Open) -> None:
+        del self._open[entry.ticket]
+        if entry.out is None:
+            self._names.pop(entry.order.name, None)
+        else:
+            entry.out.over = True
+
+    def _fail(self, ticket: int, reason: str) -> None:
+        if (entry := self._open.get(ticket)) is not None:
+            self._close(entry)
+            self.counts["failed"] += 1
+            self._tell(entry, "failed", reason)
+
+    def _tell(self, entry: _Open, how: str, what: Any) -> None:
+        try:
+            getattr(entry.reply, how)(what)
+        except Exception as error:  # a front's fault stays with its one client
+            self._log.error("reply_raised", error=repr(error))
+            self.counts["reply_raised"] += 1
+
+    # ---- one heap, one call of the reactor ----
+
+    def _at(self, at_us: int, what: int, whose: Any) -> None:
+        self._made += 1
+        heapq.heappush(self._heap, (at_us, self._made, what, whose))
+        if self._wake is None or at_us < self._wake_at:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        if self._wake is not None and self._wake.active():
+            self._wake.cancel()
+        self._wake = None
+        if self._heap:
+            self._wake_at = self._heap[0][0]
+            delay = min(ANY_DELAY_US, self._wake_at - self._clock.now_us())
+            self._wake = self._clock.call_later(delay, self._due)
+
+    def _due(self) -> None:
+        self._wake = None
+        now, over = self._clock.now_us(), []
+        while self._heap and self._heap[0][0] <= now:
+            _, _, what, whose = heapq.heappop(self._heap)
+            if what == _TIMER:
+                self._events.append(api.TimerFired(whose))
+            elif what == _ATTEMPT:
+                if not whose.done:
+                    self._abort(whose, Result.TIMEOUT)
+            elif whose in self._open:
+                over.append(whose)
+        self._run()
+        for ticket in over:
+            # The module had its say; a request still open now would outlive its client.
+            if ticket in self._open:
+                self.counts["overdue"] += 1
+                self._fail(ticket, "out of time")
+                self._feed(api.ClientGone(ticket))
+        if self._wake is None:
+            self._schedule()
+
+
+_TIMER, _ATTEMPT, _DEADLINE = 0, 1, 2
--- /dev/null
+++ b/gaugesail/core/ports.py
@@ -0,0 +1,108 @@
+"""What the engine needs from outside, as small protocols, and the records that pass between them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from marllift.interface import NodeId, Result
+
+
+class Call(Protocol):
+    """A call that has been scheduled and can be called off."""
+
+    def cancel(self) -> None: ...
+    def active(self) -> bool: ...
+
+
+class Clock(Protocol):
+    """Monotonic microseconds and one-shot calls; a fake one serves the tests."""
+
+    def now_us(self) -> int: ...
+    def call_later(self, delay_us: int, call: Callable[[], None]) -> Call: ...
+
+
+class Reply(Protocol):
+    """Where a request's one final answer goes."""
+
+    def served(self, answer: Any) -> None: ...
+    def refused(self, hold_off_us: int) -> None: ...
+    def failed(self, reason: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Order:
+    """A client's request as a front hands it over; ``payload`` is for the node transport alone."""
+
+    name: str  # the client's id of the request, unique among the open ones
+    kind: int
+    timeout_us: int  # from the moment the client sent it
+    payload: Any
+    shard: int = -1
+    plan: int = 0
+    units: float = 1.0
+    key: int = 0
+    volume: int = 0
+    mounts: float = 1.0
+    again: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt at one node.  Whoever ends it first decides; later news of it is dropped."""
+
+    ticket: int
+    number: int
+    node: NodeId
+    shard: int
+    name: str  # of the request
+    payload: Any
+    sent_us: int
+    deadline_us: int
+    done: bool = False
+    over: bool = False  # the request has its answer: what is not yet written must not be
+    connection: Any = None  # the transport's own
+
+
+class AttemptSink(Protocol):
+    """How a transport reports: each attempt ends once."""
+
+    def attempt_ended(self, attempt: Attempt, result: Result, answer: Any = None) -> None: ...
+    def probe_ended(self, node: NodeId, result: Result, elapsed_us: int) -> None: ...
+
+
+class NodeTransport(Protocol):
+    """Carries attempts to nodes."""
+
+    def send(self, attempt: Attempt, sink: AttemptSink) -> None: ...
+    def abort(self, attempt: Attempt) -> None: ...
+    def probe(self, node: NodeId, sink: AttemptSink) -> None: ...
+    def close_idle(self, node: NodeId) -> None: ...
+
+
+class Discovery(Protocol):
+    """Where the list of nodes comes from; news is handed to the engine's ``listed``."""
+
+    def watch(self, on: bool) -> None: ...
+    def fetch(self) -> None: ...
+
+
+class Logger(Protocol):
+    """The part of a structlog logger that is used."""
+
+    def info(self, event: str, **fields: Any) -> Any: ...
+    def warning(self, event: str, **fields: Any) -> Any: ...
+    def error(self, event: str, **fields: Any) -> Any: ...
+
+
+class Reactor(Protocol):
+    """The part of a Twisted reactor that is used."""
+
+    def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Any: ...
+    def listenTCP(
+        self, port: int, factory: Any, backlog: int = 50, interface: str = ""
+    ) -> Any: ...
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None  # noqa: N803
+    ) -> Any: ...
--- /dev/null
+++ b/gaugesail/http/discovery.py
@@ -0,0 +1,235 @@
+"""The discovery watch: one chunked answer that stays open, a JSON object or an empty line at a time."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
+
+from marllift.interface import ListKind, Node, NodeList, NodeMode
+
+from ..core.ports import Call, Clock, Logger, Reactor
+from ..net import Connection, dial
+from .bricks import Line
+from .parser import BadMessage, Data, Head, Parser
+
+PATH = "/catalog/members"
+SILENCE_US = 4_500_000  # an empty line comes every 2 s; two missing ones and the watch is dead
+ANSWER_US = 3_000_000  # discovery handles calls one after another
+CONNECT_S = 1.0
+MAX_LINE = 4 * 1024 * 1024
+MODES = {"Ready": NodeMode.READY, "Terminating": NodeMode.DRAINING, "Gone": NodeMode.GONE}
+_ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})\Z")
+
+
+class BadList(ValueError):
+    """A list that does not follow discovery's form."""
+
+
+def split_address(text: object) -> tuple[str, int]:
+    """Host and port; there is no DNS, so the host is an address."""
+    match = _ADDRESS.match(text) if isinstance(text, str) else None
+    if match is None or int(match[2]) > 65535 or any(int(p) > 255 for p in match[1].split(".")):
+        raise BadList(f"{text!r} is no address and port")
+    return match[1], int(match[2])
+
+
+def read_list(
+    data: Any, zones: list[str], kinds: list[str]
+) -> tuple[int, bool, list[Node], dict[bytes, Line]]:
+    """Version, whether whole, the lines for the module and those for the connections.
+
+    Start times are Unix milliseconds; the clock of the head counts Unix microseconds, so 0 stays 0.
+    """
+    try:
+        version, full = int(data["revision"]), bool(data["complete"])
+        nodes: list[Node] = []
+        lines: dict[bytes, Line] = {}
+        for item in data["members"]:
+            node, mode = str(item["id"]).encode(), MODES[item["phase"]]
+            started = int(item.get("up_since_ms", 0)) * 1000
+            # What is gone may have no address any more.
+            host, port = ("", 0) if mode is NodeMode.GONE else split_address(item["host_port"])
+            zone, kind, shard = item.get("locality", ""), item.get("flavor", ""), int(item["cell"])
+            nodes.append(
+                Node(
+                    node,
+                    shard,
+                    mode,
+                    zones.index(zone) if zone in zones else 0,
+                    kinds.index(kind) if kind in kinds else 0,
+                    float(item.get("size", 1.0)),
+                    started,
+                )
+            )
+            lines[node] = Line(host, port, shard, mode is NodeMode.READY, started)
+    except (KeyError, TypeError, ValueError) as error:
+        raise BadList(f"{type(error).__name__}: {error}") from None
+    return version, full, nodes, lines
+
+
+class _Call(Connection):
+    """One connection to discovery: a watch, or a call for the whole list."""
+
+    def __init__(self, owner: DiscoveryClient, target: str, follow: bool) -> None:
+        self._owner, self._target, self.follow = owner, target, follow
+        self._parser = Parser(answers=True, max_body=None)
+        self._text = bytearray()
+        self.ended = False
+        self.heard_us = 0
+
+    def connectionMade(self) -> None:
+        host = self._owner.host
+        self.link.setTcpNoDelay(True)
+        self.link.write(
+            f"GET {self._target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+        )
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.ended:
+            return
+        self.heard_us = self._owner.now()
+        self._parser.feed(data)
+        try:
+            for part in self._parser.parts():
+                if isinstance(part, Head):
+                    if part.status != 200:
+                        raise BadList(f"status {part.status}")
+                elif isinstance(part, Data):
+                    self._text += part.data
+                    if len(self._text) > MAX_LINE:
+                        raise BadList("a line is too long")
+                    if self.follow:
+                        self._lines()
+                else:
+                    if self._text.strip():
+                        self._owner.heard(json.loads(self._text))
+                    self.end("ended" if self.follow else "")
+                    return
+        except (BadMessage, BadList, ValueError) as error:
+            self.end(str(error) or "malformed")
+
+    def _lines(self) -> None:
+        while (at := self._text.find(b"\n")) >= 0 and not self.ended:
+            line = bytes(self._text[:at]).strip()
+            del self._text[: at + 1]
+            if line:
+                self._owner.heard(json.loads(line))
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.end("connection lost")
+
+    def end(self, why: str) -> None:
+        """The call is over, once; an empty reason means that it did what it was for."""
+        if self.ended:
+            return
+        self.ended = True
+        if self.transport is not None:
+            self.link.abortConnection()
+        self._owner.call_ended(self, why)
+
+
+
+class DiscoveryClient:
+    """Watches and fetches the list when the module says so; each failure is told to it once."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        address: tuple[str, int],
+        zones: list[str],
+        kinds: list[str],
+        log: Logger,
+        listed: Callable[[dict[bytes, Line], bool], None],
+        tell: Callable[[NodeList], None],
+    ) -> None:
+        self._reactor, self._clock, self._log = reactor, clock, log
+        self._address, self.host = address, f"{address[0]}:{address[1]}"
+        self._zones, self._kinds = zones, kinds
+        self._listed, self._tell = listed, tell
+        self._version = 0
+        self._calls: set[_Call] = set()
+        self._dials: set[Deferred[Any]] = set()
+        self._watching: _Call | None = None
+        self._check: Call | None = None
+        self._closed = False
+
+    def now(self) -> int:
+        return self._clock.now_us()
+
+    def know(self, data: Any) -> NodeList:
+        """The list that the configuration brings, perhaps old."""
+        version, _, nodes, lines = read_list(data, self._zones, self._kinds)
+        self._version = version
+        self._listed(lines, True)
+        return NodeList(ListKind.CACHED, tuple(nodes))
+
+    def watch(self, on: bool) -> None:
+        old, self._watching = self._watching, None
+        if old is not None:
+            old.follow = False
+            old.ended = True
+            self._calls.discard(old)
+            if old.transport is not None:
+                old.link.abortConnection()
+        if on:
+            self._watching = self._call(f"{PATH}?follow=1&since={self._version}", True)
+
+    def fetch(self) -> None:
+        self._call(PATH, False)
+
+    def _call(self, target: str, follow: bool) -> _Call:
+        call = _Call(self, target, follow)
+        call.heard_us = self.now()
+        self._calls.add(call)
+        made = dial(self._reactor, self._address, CONNECT_S, lambda: call)
+        self._dials.add(made)
+        made.addErrback(self._no_connection, call)
+        made.addBoth(lambda _: self._dials.discard(made))
+        if self._check is None:
+            self._check = self._clock.call_later(500_000, self._look)
+        return call
+
+    def _no_connection(self, failure: Failure, call: _Call) -> None:
+        call.end(f"no connection: {failure.value!r}")
+
+    def _look(self) -> None:
+        """Silence on a connection that stays open is all there is to see of a machine that vanished."""
+        self._check = None
+        now = self.now()
+        for call in list(self._calls):
+            if now - call.heard_us > (SILENCE_US if call.follow else ANSWER_US):
+                call.end("silent")
+        if self._calls and self._check is None and not self._closed:
+            self._check = self._clock.call_later(500_000, self._look)
+
+    def heard(self, data: Any) -> None:
+        version, full, nodes, lines = read_list(data, self._zones, self._kinds)
+        if not full and version < self._version:
+            return  # an old change, from a call that overlapped the watch
+        self._version = version
+        self._listed(lines, full)
+        self._tell(NodeList(ListKind.FULL if full else ListKind.CHANGES, tuple(nodes)))
+
+    def call_ended(self, call: _Call, why: str) -> None:
+        self._calls.discard(call)
+        if call is self._watching:
+            self._watching = None
+        if why and not self._closed:
+            self._log.warning("discovery_failed", why=why, watch=call.follow)
+            self._tell(NodeList(ListKind.FAILED))
+
+    def close(self) -> None:
+        self._closed = True
+        if self._check is not None and self._check.active():
+            self._check.cancel()
+        for made in list(self._dials):
+            made.cancel()
+        for call in list(self._calls):
+            call.end("")
--- /dev/null
+++ b/gaugesail/http/front.py
@@ -0,0 +1,341 @@
+"""The clients' side of the platform's protocol: an object for each connection, one request at a time."""
+
+from __future__ import annotations
+
+import re
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+
+from marllift import interface as api
+
+from ..buffers import Body, BufferPool, PoolEmpty
+from ..core.engine import Engine
+from ..core.ports import Clock, Logger, Order
+from ..net import Connection
+from .parser import BadMessage, Data, Head, Parser
+
+HEALTH_PATH = "/_health"
+HALF_SENT_US = 10_000_000  # how long a request may take to arrive
+SLOW_READER_US = 10_000_000  # how long an answer may wait in our buffer
+MAX_PIPELINED = 64 * 1024  # input beyond the request in hand, before reading pauses
+REASONS = {
+    200: "OK", 400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+    503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}  # fmt: skip
+_HEX16 = re.compile(r"[0-9a-fA-F]{1,16}\Z")
+_BLOCK = re.compile(r"(?:^|;\s*)block=([^;]*)")
+_NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?\Z")
+_WHOLE = re.compile(r"-?[0-9]{1,9}\Z")
+
+
+@dataclass(slots=True)
+class Exchange:
+    """What a brick is sent of a client's request; the payload of its order."""
+
+    method: str
+    target: str
+    request_id: str
+    body: Body
+
+
+class OrderReader:
+    """Reads a request's headers into an order, by the names in the settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._kinds = {spec.name: n for n, spec in enumerate(settings.classes)}
+        self._plans = {plan.name: n for n, plan in enumerate(settings.plans)}
+        self._deadlines = [spec.deadline_us for spec in settings.classes]
+
+    def read(self, head: Head, body: Body) -> Order:
+        """The order; BadMessage names the header that is missing or cannot be read."""
+        headers = head.headers
+        name = headers.get("request-id", "")
+        kind = self._kinds.get(headers.get("request-class", ""))
+        plan = self._plans.get(headers.get("x-plan", ""))
+        if not name or len(name) > 200:
+            raise BadMessage("Request-Id is missing or too long")
+        if kind is None:
+            raise BadMessage("Request-Class is missing or unknown")
+        if plan is None:
+            raise BadMessage("X-Plan is missing or unknown")
+        extras = dict(part.strip().partition("=")[::2] for part in headers.get("x-io", "").split(","))
+        units, hosts, shard = extras.get("units", ""), extras.get("hosts", "1"), extras.get("shard", "")
+        volume, block = extras.get("volume", ""), _BLOCK.search(headers.get("cookie", ""))
+        if not (_NUMBER.match(units) and _NUMBER.match(hosts) and _WHOLE.match(shard)):
+            raise BadMessage("X-IO is missing or malformed")
+        if not _HEX16.match(volume) or (block and not _HEX16.match(block[1])):
+            raise BadMessage("the volume or the block is no hex number")
+        timeout = headers.get("request-timeout-ms")
+        if timeout is not None and not (timeout.isascii() and timeout.isdigit() and len(timeout) <= 9):
+            raise BadMessage("Request-Timeout-Ms is no whole number")
+        return Order(
+            name,
+            kind,
+            self._deadlines[kind] if timeout is None else int(timeout) * 1000,
+            Exchange(head.method, head.target, name, body),
+            int(shard),
+            plan,
+            float(units),
+            int(block[1], 16) if block else 0,
+            int(volume, 16),
+            max(1.0, float(hosts)),
+            headers.get("client-retry") == "1",
+        )
+
+
+class ClientConnection(Connection):
+    """One client connection: reads a request, waits for its one answer, writes it, reads on."""
+
+    def __init__(self, front: ClientFront) -> None:
+        self._front = front
+        self._parser = Parser(answers=False)
+        self._head: Head | None = None
+        self._body: Body | None = None
+        self._ticket: int | None = None  # of the request in hand; 0 where the engine took none
+        self._keep = True
+        self._paused = self._full = self._closing = self._reading = False
+        self._since = 0  # when the request now arriving began, or the client stopped reading
+        self.lost = False
+
+    @property
+    def idle(self) -> bool:
+        return self._ticket is None and self._parser.between and not self._full
+
+    def connectionMade(self) -> None:
+        self.link.setTcpNoDelay(True)
+        self.link.registerProducer(self, True)
+        self._front.opened(self)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.lost = True
+        if self._ticket:
+            self._front.engine.client_gone(self._ticket)
+        self._ticket = None
+        self._drop_body()
+        self._front.closed(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._closing or self.lost:
+            return
+        if self._parser.between:
+            self._since = self._front.clock.now_us()
+        self._parser.feed(data)
+        if self._ticket is None:
+            self._read()
+        elif self._parser.buffered > MAX_PIPELINED and not self._paused:
+            # A client that pipelines without end is held by TCP, not by our memory.
+            self._paused = True
+            self.link.pauseProducing()
+
+    # -- the transport tells us how the client reads --
+
+    def pauseProducing(self) -> None:
+        self._full, self._since = True, self._front.clock.now_us()
+
+    def resumeProducing(self) -> None:
+        self._full = False
+        if self._ticket is None and not self.lost:
+            self._read()
+
+    def stopProducing(self) -> None:
+        self._full = False
+
+    # -- requests --
+
+    def _read(self) -> None:
+        """Take whole requests out of what has arrived, until one has to wait for its answer."""
+        if self._reading:
+            return
+        self._reading = True
+        try:
+            while self._ticket is None and not (self._full or self._closing or self.lost):
+                before = self._parser.buffered
+                for part in self._parser.parts():
+                    if isinstance(part, Head):
+                        self._head = part
+                        if part.headers.get("expect", "").lower() == "100-continue" and part.length != 0:
+                            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    elif isinstance(part, Data):
+                        if self._body is None:
+                            self._body = Body(self._front.pool)
+                        self._body.append(part.data)
+                    else:
+                        self._whole()
+                if self._parser.buffered in (before, 0):
+                    break
+        except BadMessage as error:
+            self._front.engine.counts["bad_request"] += 1
+            self.answer(error.status, str(error).encode(), close=True)
+        except PoolEmpty:
+            self._front.engine.counts["no_buffers"] += 1
+            self.answer(503, b"no memory", close=True, hold_off_us=self._front.hold_off_us)
+        finally:
+            self._reading = False
+
+    def _whole(self) -> None:
+        head, body = self._head, self._body or Body(self._front.pool)
+        self._head = self._body = None
+        if head is None:
+            return
+        self._keep = head.keep_alive
+        if head.target == HEALTH_PATH and head.method in ("GET", "HEAD"):
+            body.release()
+            ready = self._front.ready
+            text = b"ok" if ready else b"not ready"
+            self.answer(200 if ready else 503, b"" if head.method == "HEAD" else text)
+            return
+        try:
+            order = self._front.reader.read(head, body)
+        except BadMessage:
+            body.release()
+            raise
+        self._body = body  # held until the final answer
+        self._ticket = 0
+        reply = ClientReply(self)
+        self._ticket = self._front.engine.take(order, reply, self._since)
+
+    def answer(
+        self, status: int, body: bytes, close: bool = False, hold_off_us: int | None = None
+    ) -> None:
+        """Write one answer; the connection is free again after it, or closes."""
+        self._ticket = None
+        self._drop_body()
+        if self.lost:
+            return
+        keep = self._keep and not close and not self._front.closing
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", f"Content-Length: {len(body)}"]
+        if hold_off_us is not None:
+            lines.append(f"Retry-After: {hold_off_us / 1e6:.3f}")
+        if not keep:
+            lines.append("Connection: close")
+        self._write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        if not keep:
+            self.close()
+            return
+        if self._paused:
+            self._paused = False
+            self.link.resumeProducing()
+        self._since = self._front.clock.now_us()
+        if self._parser.buffered and not self._reading:
+            self._front.clock.call_later(0, self._next)
+
+    def _next(self) -> None:
+        if self._ticket is None:
+            self._read()
+
+    def _write(self, data: bytes) -> None:
+        self.link.write(data)
+
+    def _drop_body(self) -> None:
+        if self._body is not None:
+            self._body.release()
+            self._body = None
+
+    # -- closing --
+
+    def close(self) -> None:
+        if not self._closing and not self.lost:
+            self._closing = True
+            self._since = self._front.clock.now_us()
+            self.link.unregisterProducer()
+            self.link.loseConnection()
+
+    def sweep(self, now: int) -> None:
+        """Ends what takes too long: a request that never becomes whole, a client that does not read."""
+        if (self._full or self._closing) and now - self._since > SLOW_READER_US:
+            self.link.abortConnection()
+        elif self._ticket is None and not self._parser.between and now - self._since > HALF_SENT_US:
+            self._front.engine.counts["half_sent"] += 1
+            self.answer(408, b"the request took too long to arrive", close=True)
+
+
+class ClientReply:
+    """The one final answer of a request, on the connection that it came by."""
+
+    __slots__ = ("_connection",)
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self._connection: ClientConnection | None = connection
+
+    def _take(self) -> ClientConnection:
+        connection, self._connection = self._connection, None
+        if connection is None:
+            raise RuntimeError("a second final answer")
+        return connection
+
+    def served(self, answer: Any) -> None:
+        self._take().answer(200, answer)
+
+    def refused(self, hold_off_us: int) -> None:
+        connection = self._take()
+        connection.answer(503, b"refused", hold_off_us=hold_off_us or connection._front.hold_off_us)
+
+    def failed(self, reason: str) -> None:
+        self._take().answer(504 if reason == "out of time" else 500, reason.encode())
+
+
+class ClientFront(Factory):
+    """Accepts clients, within its part of the sockets."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        engine: Engine,
+        settings: api.Settings,
+        clock: Clock,
+        pool: BufferPool,
+        log: Logger,
+        max_connections: int,
+        on_idle: Callable[[], None] | None = None,
+    ) -> None:
+        self.engine, self.clock, self.pool, self._log = engine, clock, pool, log
+        self.reader = OrderReader(settings)
+        self.hold_off_us = settings.max_hold_off_us or 1_000_000
+        self.listening = self.closing = False
+        self._max, self._on_idle = max_connections, on_idle
+        self._open: OrderedDict[ClientConnection, None] = OrderedDict()
+
+    @property
+    def ready(self) -> bool:
+        return self.listening and self.engine.ready
+
+    @property
+    def connections(self) -> int:
+        return len(self._open)
+
+    def buildProtocol(self, addr: Any) -> ClientConnection:
+        return ClientConnection(self)
+
+    def opened(self, connection: ClientConnection) -> None:
+        self._open[connection] = None
+        if len(self._open) > self._max:
+            # Clients find out from an idle connection's end at no loss; one in use would lose its request.
+            victim = next((c for c in self._open if c.idle and c is not connection), connection)
+            self.engine.counts["client_limit"] += 1
+            victim.close()
+
+    def closed(self, connection: ClientConnection) -> None:
+        self._open.pop(connection, None)
+        if self.closing and not self._open and self._on_idle is not None:
+            self._on_idle()
+
+    def sweep(self) -> None:
+        now = self.clock.now_us()
+        for connection in list(self._open):
+            connection.sweep(now)
+
+    def close_idle(self) -> None:
+        """From here on an answer ends its connection, and what is idle ends now."""
+        self.closing = True
+        for connection in list(self._open):
+            if connection.idle:
+                connection.close()
+        if not self._open and self._on_idle is not None:
+            self._on_idle()
