Add the rehearsal kit and the iSCSI-style front: one whole path on each wire

Seen: the head had no tests of its own, and no second front. Added: the scenario language with its runner, a reactor in memory so that a scenario plays the same way every time, the stand-in peers of both wires, the target front, the initiator with one session a node, and the operator's file. Checked: the scenarios of both wires pass in memory and against a process on loopback. Conclusion: served and refused paths hold on both wires; the hard cases of the iSCSI wire come next.

--- a/gaugesail/__main__.py
+++ b/gaugesail/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one head by its environment."""
+"""Runs one head: by the platform's environment, or by the operator's file that is named."""
 
 import sys
 
@@ -9,7 +9,7 @@
 def main() -> int:
     from twisted.internet import reactor  # importing it installs it: only the main program does
 
-    return run(reactor, make_logger())
+    return run(reactor, make_logger(), sys.argv[1:])
 
 
 if __name__ == "__main__":
--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -9,11 +9,13 @@
 
 from twisted.internet.defer import Deferred
 
+from marllift.interface import NodeList
+
 from . import config as configuration
-from .buffers import BufferPool
+from .buffers import BUFFER_BYTES, BufferPool
 from .core.clock import ReactorClock
 from .core.engine import Engine
-from .core.ports import Logger, Reactor
+from .core.ports import Clock, Logger, Reactor
 from .http.bricks import BrickPool
 from .http.discovery import DiscoveryClient
 from .http.front import ClientFront
@@ -25,44 +27,22 @@
 BACKLOG = 512
 
 
-class Head:
-    """One head on the platform's protocol.  Embeddable: the reactor is passed in, nothing is global."""
-
-    def __init__(self, reactor: Reactor, config: configuration.Config, log: Logger) -> None:
-        self._config, self._log = config, log
-        self._reactor = reactor
-        self.clock = ReactorClock(reactor)
-        self.buffers = BufferPool(config.limits.buffers)
-        self.bricks = BrickPool(
-            reactor,
-            self.clock,
-            self.buffers,
-            log,
-            config.conn_idle_us,
-            config.connect_timeout_us,
-            config.limits.node_connections,
-        )
-        self.discovery = DiscoveryClient(
-            reactor,
-            self.clock,
-            config.discovery,
-            config.zones,
-            config.kinds,
-            log,
-            self.bricks.listed,
-            lambda news: self.engine.listed(news),
-        )
-        self.engine = Engine(config.settings, config.seed, self.clock, self.bricks, self.discovery, log)
-        self.front = ClientFront(
-            self.engine,
-            config.settings,
-            self.clock,
-            self.buffers,
-            log,
-            config.limits.client_connections,
-            self._finished,
-        )
+class Service:
+    """The life of a head on any wire: start, a sweep a second, an orderly stop."""
+
+    def __init__(
+        self, reactor: Reactor, clock: Clock, log: Logger, listen: tuple[str, int], memory_mb: int
+    ) -> None:
+        self._reactor, self._log, self._listen = reactor, log, listen
+        self.clock = clock
+        # A quarter of the memory for buffers: the interpreter and the books take about 30 MB.
+        self.buffers = BufferPool(max(64, memory_mb * 1024 * 1024 // 4 // BUFFER_BYTES))
+        self.engine: Engine
+        self.front: Any
+        self.transport: Any
+        self.discovery: Any
         self.stopped: Deferred[None] = Deferred()
+        self.address = listen
         self._port: Any = None
         self._stopping = False
         self._sweeps = 0
@@ -70,14 +50,16 @@
 
     def start(self) -> None:
         """Listen, then set the module up with the list as last known and start watching."""
-        host, port = self._config.listen
+        host, port = self._listen
         self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        self.address = (host, self._port.getHost().port)
         self.front.listening = True
-        self.engine.start(self.discovery.know(self._config.known))
+        self.engine.start(self.known())
         self.clock.call_later(SWEEP_US, self._sweep)
-        gc.collect()
-        gc.freeze()
-        self._log.info("listening", name=self._config.name, address=f"{host}:{self._port.getHost().port}")
+        self._log.info("listening", address=f"{host}:{self.address[1]}")
+
+    def known(self) -> NodeList:
+        raise NotImplementedError
 
     def stop(self) -> Deferred[None]:
         """Finish in order: accept a while, serve a while, close what is idle, finish what was taken."""
@@ -95,14 +77,14 @@
     def _finished(self) -> None:
         if not self.stopped.called:
             self.discovery.close()
-            self.bricks.close()
+            self.transport.close()
             self._log.info("stopped", open=self.engine.open_requests)
             self.stopped.callback(None)
 
     def _sweep(self) -> None:
         self.clock.call_later(SWEEP_US, self._sweep)
         self.front.sweep()
-        self.bricks.sweep()
+        self.transport.sweep()
         self._sweeps += 1
         if self._sweeps % REPORT_EVERY == 0:
             counts = self.engine.counts
@@ -113,17 +95,68 @@
                 open=self.engine.open_requests,
                 out=self.engine.attempts_out,
                 clients=self.front.connections,
-                nodes=self.bricks.connections,
+                nodes=self.transport.connections,
                 buffers=self.buffers.out,
                 **fresh,
             )
 
 
-def run(reactor: Any, log: Logger) -> int:
-    """Run a head by its environment until SIGTERM; the exit code."""
+class Head(Service):
+    """One head on the platform's protocol.  Embeddable: the reactor is passed in, nothing is global."""
+
+    def __init__(
+        self, reactor: Reactor, config: configuration.Config, log: Logger, clock: Clock | None = None
+    ) -> None:
+        limits = config.limits
+        super().__init__(reactor, clock or ReactorClock(reactor), log, config.listen, limits.memory_mb)
+        self._known = config.known
+        self.transport = BrickPool(
+            reactor,
+            self.clock,
+            self.buffers,
+            log,
+            config.conn_idle_us,
+            config.connect_timeout_us,
+            limits.node_connections,
+        )
+        self.discovery = DiscoveryClient(
+            reactor,
+            self.clock,
+            config.discovery,
+            config.zones,
+            config.kinds,
+            log,
+            self.transport.listed,
+            lambda news: self.engine.listed(news),
+        )
+        self.engine = Engine(config.settings, config.seed, self.clock, self.transport, self.discovery, log)
+        self.front = ClientFront(
+            self.engine,
+            config.settings,
+            self.clock,
+            self.buffers,
+            log,
+            limits.client_connections,
+            self._finished,
+        )
+
+    def known(self) -> NodeList:
+        news: NodeList = self.discovery.know(self._known)
+        return news
+
+
+def run(reactor: Any, log: Logger, arguments: list[str]) -> int:
+    """Run a head until SIGTERM: by the platform's environment, or by an operator's file.  The exit code."""
     try:
-        head = Head(reactor, configuration.load(), log)
-    except configuration.ConfigError as error:
+        if arguments:
+            from .iscsi.app import IscsiHead
+            from .iscsi.operator import load_operator
+
+            path = arguments[0]
+            head: Service = IscsiHead(reactor, load_operator(path), log)
+        else:
+            head = Head(reactor, configuration.load(), log)
+    except ValueError as error:
         log.error("bad_configuration", error=str(error))
         return 2
     failed: list[int] = []
@@ -131,13 +164,23 @@
     def up() -> None:
         # Twisted's own handler would stop at once; ours finishes what was taken.
         signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(head.stop))
+        if arguments:
+            signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
         try:
             head.start()
+            gc.collect()
+            gc.freeze()
         except Exception as error:  # an address in use, say: there is nothing to serve
             log.error("cannot_start", error=repr(error))
             failed.append(1)
             reactor.stop()
 
+    def reload() -> None:
+        try:
+            head.reload(load_operator(path))  # type: ignore[attr-defined]
+        except ValueError as error:  # the old file stays in force
+            log.error("bad_configuration", error=str(error))
+
     head.stopped.addCallback(lambda _: reactor.callLater(0, reactor.stop))
     reactor.callWhenRunning(up)
     reactor.run()
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -35,10 +35,6 @@
         """The rest, but for a tenth for discovery, the listener, logs and what is still closing."""
         return max(1, self.sockets * 3 // 10)
 
-    @property
-    def buffers(self) -> int:
-        return max(64, self.memory_mb * 1024 * 1024 // 4 // 4096)
-
 
 @dataclass(slots=True, frozen=True)
 class Config:
--- a/gaugesail/core/clock.py
+++ b/gaugesail/core/clock.py
@@ -14,12 +14,17 @@
 class ReactorClock:
     """Time from the system, calls from the reactor."""
 
-    def __init__(self, reactor: Reactor) -> None:
-        self._reactor = reactor
-        self._offset = time.time_ns() - time.monotonic_ns()
+    def __init__(
+        self,
+        reactor: Reactor,
+        monotonic_ns: Callable[[], int] = time.monotonic_ns,
+        unix_ns: Callable[[], int] = time.time_ns,
+    ) -> None:
+        self._reactor, self._monotonic_ns = reactor, monotonic_ns
+        self._offset = unix_ns() - monotonic_ns()
 
     def now_us(self) -> int:
-        return (time.monotonic_ns() + self._offset) // 1000
+        return (self._monotonic_ns() + self._offset) // 1000
 
     def call_later(self, delay_us: int, call: Callable[[], None]) -> Call:
         handle: Call = self._reactor.callLater(max(0, delay_us) / 1e6, call)
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -134,20 +134,19 @@
         self._out.pop((attempt.ticket, attempt.number), None)
         entry = self._open.get(attempt.ticket)
         final = entry is None
-        self.counts[result.name.lower()] += 1
+        self.counts[f"attempt_{result.name.lower()}"] += 1
         if entry is not None:
             entry.out = None
             if result is Result.SERVED:
                 final = True
                 self._close(entry)
+                self.counts["served"] += 1
                 self._tell(entry, "served", answer)
         else:
             self._names.pop(attempt.name, None)
         attempt.payload = None  # the heap may hold the attempt a while yet
         elapsed = max(0, self._clock.now_us() - attempt.sent_us)
-        self._feed(
-            api.Outcome(attempt.ticket, attempt.number, attempt.node, result, elapsed, final)
-        )
+        self._feed(api.Outcome(attempt.ticket, attempt.number, attempt.node, result, elapsed, final))
 
     # ---- ticks ----
 
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -99,10 +99,13 @@
 class Reactor(Protocol):
     """The part of a Twisted reactor that is used."""
 
-    def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Any: ...
-    def listenTCP(
-        self, port: int, factory: Any, backlog: int = 50, interface: str = ""
-    ) -> Any: ...
+    def callLater(self, delay: float, call: Callable[..., Any], /, *args: Any) -> Any: ...
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any: ...
     def connectTCP(
-        self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None  # noqa: N803
+        self,
+        host: str,
+        port: int,
+        factory: Any,
+        timeout: float = 30,
+        bindAddress: Any = None,  # noqa: N803
     ) -> Any: ...
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -398,4 +398,3 @@
         for brick in self._bricks.values():
             for connection in list(brick.idle):
                 connection.abort()
-
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -86,9 +86,7 @@
     def connectionMade(self) -> None:
         host = self._owner.host
         self.link.setTcpNoDelay(True)
-        self.link.write(
-            f"GET {self._target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
-        )
+        self.link.write(f"GET {self._target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     def dataReceived(self, data: bytes) -> None:
         if self.ended:
@@ -134,7 +132,6 @@
         self._owner.call_ended(self, why)
 
 
-
 class DiscoveryClient:
     """Watches and fetches the list when the module says so; each failure is told to it once."""
 
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -200,9 +200,7 @@
         reply = ClientReply(self)
         self._ticket = self._front.engine.take(order, reply, self._since)
 
-    def answer(
-        self, status: int, body: bytes, close: bool = False, hold_off_us: int | None = None
-    ) -> None:
+    def answer(self, status: int, body: bytes, close: bool = False, hold_off_us: int | None = None) -> None:
         """Write one answer; the connection is free again after it, or closes."""
         self._ticket = None
         self._drop_body()
--- /dev/null
+++ b/gaugesail/rehearsal/iscsi_peers.py
@@ -0,0 +1,321 @@
+"""Stand-in peers of the iSCSI-style wire: a client, a storage node, and the operator's file."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
+
+from ..iscsi import pdu as wire
+from ..iscsi.pdu import FINAL, NO_TAG, Op, Pdu, PduReader, fields
+from ..net import Connection, dial
+from .peers import Listener, Peer, Words, options
+
+TARGET = "iqn.2026-12.ee.example:rehearsed"
+BLOCK = 512
+STATUS = {"good": 0x00, "check": 0x02, "busy": 0x08, "full": 0x28}
+
+
+def operator_file(nodes: list[IscsiNode], changes: dict[str, str]) -> dict[str, Any]:
+    """An operator's file: LUN 0 has a basic volume on shard 0 and a priority volume on shard 1."""
+    from . import defaults
+
+    config: dict[str, Any] = {
+        "target": {"listen": "127.0.0.1:0", "name": TARGET},
+        "limits": {"connect_timeout_ms": 250},
+        "rules": {"max_attempts": 4, "may_cancel": True, "drain_grace_us": 250_000,
+                  "max_hold_off_us": 500_000,
+                  "most_units": 8, "mean_units": 2.0},
+        "class": [
+            {"name": "read", "aim_ms": 500, "deadline_ms": 3000, "late_share": 0.15},
+            {"name": "write", "aim_ms": 600, "deadline_ms": 5000, "late_share": 0.15, "writes": True},
+        ],
+        "plan": [{"name": "basic", "rate": 200, "reserve": 100},
+                 {"name": "priority", "rate": 400, "reserve": 300, "weight": 3, "price": 1.4}],
+        "lun": [{"number": 0, "extent": [
+            {"first": 0, "blocks": 1024, "volume": "0a", "plan": "basic", "shard": 0},
+            {"first": 1024, "blocks": 1024, "volume": "0b", "plan": "priority", "shard": 1}]}],
+        "node": [{"id": node.name, "address": node.address, "shard": node.shard, "target": TARGET,
+                  "phase": "Ready"} for node in nodes],
+    }  # fmt: skip
+    for path, value in changes.items():
+        defaults.change(config, path, value)
+    return config
+
+
+class OperatorFile(Peer):
+    """Discovery of this wire: an edit of the operator's file, and the daemon told of it."""
+
+    def __init__(self, world: Any, config: dict[str, Any]) -> None:
+        super().__init__("list")
+        self._world, self._config = world, config
+
+    def send(self, words: Words) -> None:
+        """NODE PHASE [up=MS]"""
+        self._config = copy.deepcopy(self._config)
+        row = next(row for row in self._config["node"] if row["id"] == words[0])
+        row["phase"] = words[1]
+        row["up_since_ms"] = int(options(words).get("up", 0))
+        self._world.change(self._config)
+
+
+class PduConnection(Connection):
+    """Hands whole PDUs to its owner."""
+
+    def __init__(self, owner: Any) -> None:
+        self._owner, self._reader = owner, PduReader(1 << 24)
+        self.cmd_sn, self.stat_sn = 1, 1
+        self.window = 16
+
+    def connectionMade(self) -> None:
+        self._owner.opened(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        self._reader.feed(data)
+        for pdu in self._reader.pdus():
+            self._owner.message(self, pdu)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._owner.lost(self)
+
+    def write(
+        self, opcode: int, flags: int, itt: int, words: dict[int, int] | None = None, **more: Any
+    ) -> None:
+        cdb = more.pop("cdb", b"")
+        self.link.write(Pdu(opcode, flags, itt, rest=fields(words, cdb), **more).encode())
+
+
+class IscsiClient(Peer):
+    """An initiator.  Words of its commands: lba= blocks= lun= tag= sn= fill= (one letter, for writes)."""
+
+    def __init__(self, reactor: Any, name: str, address: Callable[[], tuple[str, int]]) -> None:
+        super().__init__(name)
+        self._reactor, self._address = reactor, address
+        self._connection: PduConnection | None = None
+        self._data: dict[int, bytes] = {}  # read so far
+        self._writes: dict[int, bytes] = {}
+
+    def opened(self, connection: PduConnection) -> None:
+        self._connection = connection
+
+    def lost(self, connection: PduConnection) -> None:
+        self._connection = None
+        self.saw("closed")
+
+    def _wire(self) -> PduConnection:
+        if self._connection is None:
+            raise ValueError(f"{self.name} is not connected")
+        return self._connection
+
+    def message(self, connection: PduConnection, pdu: Pdu) -> None:
+        tag = str(pdu.itt)
+        if pdu.opcode == Op.LOGIN_RESPONSE:
+            self.saw("login", f"{pdu.word(36) >> 16:#06x}", *sorted(wire.read_text(pdu.data)))
+        elif pdu.opcode == Op.DATA_IN:
+            self._data[pdu.itt] = self._data.get(pdu.itt, b"") + pdu.data
+            if pdu.flags & 1:
+                self._status(pdu, self._data.pop(pdu.itt))
+        elif pdu.opcode == Op.RESPONSE:
+            self._status(pdu, pdu.data)
+        elif pdu.opcode == Op.R2T:
+            self.saw("r2t", tag, f"offset={pdu.word(40)}", f"length={pdu.word(44)}")
+            self._answer_r2t(pdu)
+        elif pdu.opcode == Op.REJECT:
+            self.saw("reject", str(pdu.byte2))
+        elif pdu.opcode == Op.TASK_RESPONSE:
+            self.saw("aborted", str(pdu.byte2))
+        elif pdu.opcode == Op.NOP_IN:
+            self.saw("nop", tag, pdu.data.decode("latin-1"))
+        elif pdu.opcode == Op.TEXT_RESPONSE:
+            self.saw("text", pdu.data.decode("latin-1").replace("\0", " ").strip())
+        elif pdu.opcode == Op.LOGOUT_RESPONSE:
+            self.saw("logout")
+
+    def _status(self, pdu: Pdu, data: bytes) -> None:
+        name = next((name for name, code in STATUS.items() if code == pdu.byte3), str(pdu.byte3))
+        more = [f"{len(data)}", data[:1].decode("latin-1")] if data and name == "good" else []
+        if name == "check":
+            more = [f"{data[4]:02x}/{data[14]:02x}/{data[15]:02x}"]
+        self.saw(name, str(pdu.itt), *more)
+
+    def _answer_r2t(self, pdu: Pdu) -> None:
+        data = self._writes.get(pdu.itt)
+        if data is not None:
+            start, size = pdu.word(40), pdu.word(44)
+            words = {20: pdu.word(20), 36: 0, 40: start}
+            self._wire().write(Op.DATA_OUT, FINAL, pdu.itt, words, data=data[start : start + size])
+
+    def send_login(self, words: Words) -> None:
+        """login [Key=value ...] [stage=N]: to the full feature phase in one step"""
+        keys = {"InitiatorName": "iqn.2026-12.ee.example:client", "SessionType": "Normal",
+                "TargetName": TARGET,
+                "AuthMethod": "None", "MaxRecvDataSegmentLength": "8192"} | options(words)  # fmt: skip
+        keys = {key: value for key, value in keys.items() if value}
+        made = dial(self._reactor, self._address(), 5.0, lambda: PduConnection(self))
+
+        def up(connection: PduConnection) -> None:
+            connection.write(Op.LOGIN, FINAL | 0x07, 0, {24: 1}, data=wire.write_text(keys), immediate=True)
+
+        made.addCallbacks(up, lambda failure: self.saw("refused"))
+
+    def _command(self, cdb: bytes, words: Words, flags: int, size: int, data: bytes = b"") -> None:
+        given, connection = options(words), self._wire()
+        sn = int(given.get("sn", connection.cmd_sn))
+        if "sn" not in given:
+            connection.cmd_sn += 1
+        lun = wire.lun_bytes(int(given.get("lun", 0)))
+        connection.write(
+            Op.COMMAND,
+            FINAL | flags,
+            int(given.get("tag", 1)),
+            {20: size, 24: sn},
+            lun=lun,
+            cdb=cdb,
+            data=data,
+        )
+
+    def send_read(self, words: Words) -> None:
+        given = options(words)
+        blocks = int(given.get("blocks", 1))
+        cdb = wire.block_cdb(False, int(given.get("lba", 0)), blocks)
+        self._command(cdb, words, 0x40, blocks * BLOCK)
+
+    def send_write(self, words: Words) -> None:
+        """write ... [immediate=BYTES]"""
+        given = options(words)
+        blocks, tag = int(given.get("blocks", 1)), int(given.get("tag", 1))
+        data = given.get("fill", "w").encode() * (blocks * BLOCK)
+        self._writes[tag] = data
+        if "silent" in words:
+            del self._writes[tag]  # an R2T of it is never answered
+        cdb = wire.block_cdb(True, int(given.get("lba", 0)), blocks)
+        self._command(cdb, words, 0x20, len(data), data[: int(given.get("immediate", 0))])
+
+    def send_cdb(self, words: Words) -> None:
+        """cdb HEX [length=N]: any command that reads"""
+        self._command(bytes.fromhex(words[0]), words, 0x40, int(options(words).get("length", 255)))
+
+    def send_nop(self, words: Words) -> None:
+        self._wire().write(
+            Op.NOP_OUT,
+            FINAL,
+            99,
+            {20: NO_TAG, 24: self._wire().cmd_sn},
+            data=words[0].encode(),
+            immediate=True,
+        )
+
+    def send_abort(self, words: Words) -> None:
+        """abort TAG"""
+        words_ = {20: int(words[0]), 24: self._wire().cmd_sn}
+        self._wire().write(Op.TASK, FINAL | 1, 98, words_, immediate=True)
+
+    def send_text(self, words: Words) -> None:
+        self._wire().write(Op.TEXT, FINAL, 97, {20: NO_TAG}, data=words[0].encode() + b"\0", immediate=True)
+
+    def send_logout(self, words: Words) -> None:
+        self._wire().write(Op.LOGOUT, FINAL, 96, {24: self._wire().cmd_sn}, immediate=True)
+
+    def send_hex(self, words: Words) -> None:
+        self._wire().link.write(bytes.fromhex("".join(words)))
+
+    def close(self, words: Words) -> None:
+        self._wire().link.abortConnection()
+
+
+class IscsiNode(Listener):
+    """A storage node.  It takes logins by itself; each command waits for the scenario's word."""
+
+    def __init__(self, reactor: Any, name: str, shard: int) -> None:
+        self.shard = shard
+        self.held: dict[str, tuple[PduConnection, Pdu]] = {}
+        self._mute = False
+        self._count = 0
+        super().__init__(reactor, name)
+
+    def accept(self) -> PduConnection:
+        return PduConnection(self)
+
+    def opened(self, connection: PduConnection) -> None:
+        self.open.append(connection)
+
+    def lost(self, connection: PduConnection) -> None:
+        self.open.remove(connection)
+        self.saw("closed")
+
+    def _write(
+        self,
+        to: PduConnection,
+        op: int,
+        flags: int,
+        itt: int,
+        words: dict[int, int] | None = None,
+        **more: Any,
+    ) -> None:
+        serials = {24: to.stat_sn, 28: to.cmd_sn, 32: to.cmd_sn + to.window - 1}
+        to.stat_sn += 1
+        to.write(op, flags, itt, serials | (words or {}), **more)
+
+    def message(self, connection: PduConnection, pdu: Pdu) -> None:
+        """Commands are numbered from 1 in the order they come, whatever their tags."""
+        if pdu.opcode == Op.LOGIN:
+            self.saw("login")
+            if not self._mute:
+                keys = wire.negotiate(wire.read_text(pdu.data), wire.Limits())
+                self._write(connection, Op.LOGIN_RESPONSE, pdu.flags, pdu.itt, data=wire.write_text(keys))
+        elif pdu.opcode == Op.COMMAND:
+            connection.cmd_sn += 1
+            self._count += 1
+            self.held[str(self._count)] = connection, pdu
+            kind = "write" if pdu.flags & 0x20 else "read"
+            lba, blocks = int.from_bytes(pdu.cdb[2:6], "big"), int.from_bytes(pdu.cdb[7:9], "big")
+            self.saw(kind, str(self._count), f"lba={lba}", f"blocks={blocks}", f"data={len(pdu.data)}")
+        elif pdu.opcode == Op.DATA_OUT:
+            self.saw("data", f"offset={pdu.word(40)}", f"length={len(pdu.data)}")
+        elif pdu.opcode == Op.TASK:
+            self.saw("abort")
+            if not self._mute:
+                self._write(connection, Op.TASK_RESPONSE, FINAL, pdu.itt)
+        elif pdu.opcode == Op.LOGOUT:
+            self.saw("logout")
+
+    def send_mute(self, words: Words) -> None:
+        """Take what comes and never say anything by itself again."""
+        self._mute = True
+
+    def send_window(self, words: Words) -> None:
+        """window N: how many commands may be in flight from the next answer on"""
+        for connection in self.open:
+            connection.window = int(words[0])
+
+    def send_data(self, words: Words) -> None:
+        """data N LETTER [part=BYTES offset=BYTES]: a whole read with its status, or a part without"""
+        connection, pdu = self.held[words[0]]
+        given, size = options(words), pdu.word(20)
+        if "part" in given:
+            data = words[1].encode() * int(given["part"])
+            self._write(
+                connection, Op.DATA_IN, 0, pdu.itt, {20: NO_TAG, 40: int(given.get("offset", 0))}, data=data
+            )
+            return
+        start = int(given.get("offset", 0))
+        data = words[1].encode() * (size - start)
+        self._write(connection, Op.DATA_IN, FINAL | 1, pdu.itt, {20: NO_TAG, 40: start}, data=data)
+
+    def send_status(self, words: Words) -> None:
+        """status N good|check|busy|full"""
+        connection, pdu = self.held.pop(words[0])
+        data = wire.sense(0x04, 0x44, 0) if words[1] == "check" else b""
+        self._write(connection, Op.RESPONSE, FINAL, pdu.itt, byte3=STATUS[words[1]], data=data)
+
+    def send_r2t(self, words: Words) -> None:
+        """r2t N offset= length="""
+        connection, pdu = self.held[words[0]]
+        given = options(words)
+        self._write(
+            connection, Op.R2T, FINAL, pdu.itt,
+            {20: 7, 40: int(given["offset"]), 44: int(given["length"])}, lun=pdu.lun,
+        )  # fmt: skip
--- /dev/null
+++ b/gaugesail/rehearsal/memory.py
@@ -0,0 +1,216 @@
+"""A reactor in memory: TCP between parties of one process, in time that only a rehearsal moves.
+
+It lets a scenario play the same way every time.  It keeps to what Twisted's own transports promise: bytes
+in order, callbacks never from inside ``write``, producers paused and resumed, one connectionLost.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import error
+from twisted.internet.address import IPv4Address
+from twisted.internet.task import Clock
+from twisted.python import failure
+
+Failure: Any = failure.Failure  # these have no annotations
+CannotListenError: Any = error.CannotListenError
+ConnectionAborted: Any = error.ConnectionAborted
+ConnectionDone: Any = error.ConnectionDone
+ConnectionLost: Any = error.ConnectionLost
+ConnectionRefusedError: Any = error.ConnectionRefusedError
+TimeoutError: Any = error.TimeoutError
+
+FULL = 64 * 1024  # what one side may hold unsent before its producer is paused
+
+
+class MemoryTransport:
+    """One end of a connection."""
+
+    def __init__(self, reactor: MemoryReactor, protocol: Any, host: IPv4Address, peer: IPv4Address) -> None:
+        self._reactor, self._protocol = reactor, protocol
+        self._addresses = host, peer
+        self.other: MemoryTransport | None = None
+        self._out = bytearray()
+        self._producer: Any = None
+        self._streaming = self._producer_paused = self._reading_paused = False
+        self._scheduled = self._closing = False
+        self.disconnected = False
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def getHost(self) -> IPv4Address:
+        return self._addresses[0]
+
+    def getPeer(self) -> IPv4Address:
+        return self._addresses[1]
+
+    def write(self, data: bytes) -> None:
+        if self.disconnected or (self._closing and self._producer is None):
+            return
+        self._out += data
+        if len(self._out) > FULL and self._producer and self._streaming and not self._producer_paused:
+            self._producer_paused = True
+            self._producer.pauseProducing()
+        self._soon()
+
+    def _soon(self) -> None:
+        if not self._scheduled and not self.disconnected:
+            self._scheduled = True
+            self._reactor.callLater(0, self._push)
+
+    def _push(self) -> None:
+        self._scheduled = False
+        if self.disconnected or self.other is None or self.other._reading_paused:
+            return
+        if self._out:
+            data = bytes(self._out)
+            self._out.clear()
+            if not self.other.disconnected:
+                self.other._protocol.dataReceived(data)
+        if self._producer is not None and not self.disconnected:
+            if not self._streaming or self._producer_paused:
+                self._producer_paused = False
+                self._producer.resumeProducing()
+        elif self._closing and not self._out:
+            self._end(ConnectionDone(), ConnectionDone())
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        if self._producer is not None:
+            raise RuntimeError("a producer is registered already")
+        if self.disconnected:
+            producer.stopProducing()
+            return
+        self._producer, self._streaming = producer, streaming
+        if not streaming:
+            producer.resumeProducing()
+
+    def unregisterProducer(self) -> None:
+        self._producer = None
+        if self._closing:
+            self._soon()
+
+    def pauseProducing(self) -> None:
+        self._reading_paused = True
+
+    def resumeProducing(self) -> None:
+        self._reading_paused = False
+        if self.other is not None:
+            self.other._soon()
+
+    def loseConnection(self) -> None:
+        self._closing = True
+        self._soon()
+
+    def abortConnection(self) -> None:
+        if not self.disconnected:
+            self._reactor.callLater(0, self._end, ConnectionAborted(), ConnectionLost())
+
+    def _end(self, mine: Exception, theirs: Exception) -> None:
+        if self.disconnected:
+            return
+        other = self.other
+        self._lost(mine)
+        if other is not None:
+            self._reactor.callLater(0, other._lost, theirs)
+
+    def _lost(self, why: Exception) -> None:
+        if self.disconnected:
+            return
+        self.disconnected = True
+        producer, self._producer = self._producer, None
+        if producer is not None:
+            producer.stopProducing()
+        self._protocol.connectionLost(Failure(why))
+
+
+class _Port:
+    def __init__(self, reactor: MemoryReactor, address: IPv4Address, factory: Any) -> None:
+        self._reactor, self._address, self.factory = reactor, address, factory
+
+    def getHost(self) -> IPv4Address:
+        return self._address
+
+    def stopListening(self) -> None:
+        self._reactor.ports.pop((self._address.host, self._address.port), None)
+
+
+class _Connector:
+    def __init__(self) -> None:
+        self.failed: Callable[[Exception], None] = lambda error: None
+
+    def stopConnecting(self) -> None:
+        self.failed(ConnectionAborted())
+
+
+class MemoryReactor(Clock):
+    """callLater, listenTCP and connectTCP, all in memory.  ``silent`` addresses never answer a connect."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ports: dict[tuple[str, int], _Port] = {}
+        self.silent: set[tuple[str, int]] = set()
+        self._next_port = 20_000
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> _Port:
+        if not port:
+            self._next_port += 1
+            port = self._next_port
+        if (interface, port) in self.ports:
+            raise CannotListenError(interface, port, OSError("address in use"))
+        made = self.ports[(interface, port)] = _Port(self, IPv4Address("TCP", interface, port), factory)
+        return made
+
+    def connectTCP(
+        self,
+        host: str,
+        port: int,
+        factory: Any,
+        timeout: float = 30,
+        bindAddress: Any = None,  # noqa: N803
+    ) -> _Connector:
+        connector, there = _Connector(), IPv4Address("TCP", host, port)
+        factory.doStart()
+
+        def failed(error: Exception) -> None:
+            if call.active():
+                call.cancel()
+            connector.failed = lambda error: None
+            factory.clientConnectionFailed(connector, Failure(error))
+
+        def up() -> None:
+            connector.failed = lambda error: None
+            if (host, port) in self.silent:
+                factory.clientConnectionFailed(connector, Failure(TimeoutError()))
+                return
+            listener = self.ports.get((host, port))
+            server = listener.factory.buildProtocol(there) if listener is not None else None
+            if server is None:
+                factory.clientConnectionFailed(connector, Failure(ConnectionRefusedError()))
+                return
+            self._next_port += 1
+            here = IPv4Address("TCP", "127.0.0.1", self._next_port)
+            client = factory.buildProtocol(there)
+            ends = MemoryTransport(self, client, here, there), MemoryTransport(self, server, there, here)
+            ends[0].other, ends[1].other = ends[1], ends[0]
+            server.makeConnection(ends[1])
+            client.makeConnection(ends[0])
+
+        connector.failed = failed
+        call: Any = self.callLater(timeout if (host, port) in self.silent else 0, up)
+        return connector
+
+    def run_until(self, done: Callable[[], bool], most: float) -> bool:
+        """Move time from one call to the next until ``done``; false when ``most`` seconds have gone by."""
+        end = self.seconds() + most
+        while not done():
+            calls: Any = self.getDelayedCalls()
+            if not calls:
+                return False
+            at = min(call.getTime() for call in calls)
+            if at > end:
+                return False
+            self.advance(max(0.0, at - self.seconds()))
+        return True
--- /dev/null
+++ b/gaugesail/rehearsal/peers.py
@@ -0,0 +1,299 @@
+"""Stand-in peers: what a scenario sends through them, and what they saw, as lines of words."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+
+from ..http.parser import BadMessage, Data, Head, Parser
+from ..net import Connection, dial
+
+Words = list[str]
+
+
+class ScenarioError(Exception):
+    """A scenario that cannot be played as it is written."""
+
+
+def options(words: Words) -> dict[str, str]:
+    """The words of the form key=value."""
+    return dict(word.split("=", 1) for word in words if "=" in word)
+
+
+class Peer:
+    """One party of a scenario.  ``inbox`` holds what it saw and nobody has expected yet."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.inbox: deque[Words] = deque()
+
+    def saw(self, *words: str) -> None:
+        self.inbox.append(list(words))
+
+    def send(self, words: Words) -> None:
+        """Do what the words say: the first names a method of the peer."""
+        method = getattr(self, f"send_{words[0].replace('-', '_')}", None) if words else None
+        if method is None:
+            raise ScenarioError(f"{type(self).__name__} cannot send {' '.join(words)!r}")
+        method(words[1:])
+
+    def close(self, words: Words) -> None:
+        raise ScenarioError(f"{type(self).__name__} cannot be closed")
+
+
+class _Acceptor(Factory):
+    noisy = False
+
+    def __init__(self, build: Callable[[], Connection]) -> None:
+        self._build = build
+
+    def buildProtocol(self, addr: Any) -> Connection:
+        return self._build()
+
+
+class Listener(Peer):
+    """A peer that the daemon connects to."""
+
+    def __init__(self, reactor: Any, name: str) -> None:
+        super().__init__(name)
+        self._reactor = reactor
+        self.open: list[Any] = []
+        self.port: Any = None
+        self.address = ""
+        self.listen()
+
+    def listen(self) -> None:
+        number = int(self.address.split(":")[1]) if self.address else 0
+        self.port = self._reactor.listenTCP(number, _Acceptor(self.accept), interface="127.0.0.1")
+        self.address = f"127.0.0.1:{self.port.getHost().port}"
+
+    def accept(self) -> Connection:
+        raise NotImplementedError
+
+    def send_listen(self, words: Words) -> None:
+        """Be there again, under the old address."""
+        self.listen()
+
+    def close(self, words: Words) -> None:
+        """Die: nothing listens any more and what was open is reset."""
+        self.port.stopListening()
+        for connection in list(self.open):
+            connection.link.abortConnection()
+
+
+class HttpConnection(Connection):
+    """Hands whole messages to its owner."""
+
+    def __init__(self, owner: Any, answers: bool) -> None:
+        self._owner, self._parser = owner, Parser(answers=answers)
+        self._head: Head | None = None
+        self._body = b""
+
+    def connectionMade(self) -> None:
+        self._owner.opened(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        self._parser.feed(data)
+        try:
+            while self._parts():
+                pass
+        except BadMessage as error:
+            self._owner.saw("malformed", str(error))
+
+    def _parts(self) -> bool:
+        for part in self._parser.parts():
+            if isinstance(part, Head):
+                self._head, self._body = part, b""
+            elif isinstance(part, Data):
+                self._body += part.data
+            elif self._head is not None:
+                self._owner.message(self, self._head, self._body)
+                return self._parser.buffered > 0
+        return False
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._owner.lost(self)
+
+
+class HttpClient(Peer):
+    """A client of the head, with one connection, opened when it first sends."""
+
+    def __init__(self, reactor: Any, name: str, address: Callable[[], tuple[str, int]]) -> None:
+        super().__init__(name)
+        self._reactor, self._address = reactor, address
+        self._connection: HttpConnection | None = None
+        self._unsent: list[bytes] = []
+
+    def opened(self, connection: HttpConnection) -> None:
+        self._connection = connection
+        for data in self._unsent:
+            connection.link.write(data)
+        self._unsent = []
+
+    def lost(self, connection: HttpConnection) -> None:
+        self._connection = None
+        self.saw("closed")
+
+    def message(self, connection: HttpConnection, head: Head, body: bytes) -> None:
+        extra = [f"retry-after={head.headers['retry-after']}"] if "retry-after" in head.headers else []
+        self.saw(str(head.status), body.decode("latin-1"), *extra)
+
+    def _write(self, data: bytes) -> None:
+        if self._connection is not None:
+            self._connection.link.write(data)
+            return
+        self._unsent.append(data)
+        if len(self._unsent) == 1:
+            made = dial(self._reactor, self._address(), 5.0, lambda: HttpConnection(self, True))
+            made.addErrback(lambda failure: self.saw("refused"))
+
+    def send_request(self, words: Words) -> None:
+        """request ID [class= plan= units= shard= hosts= volume= block= timeout= retry= body=]"""
+        has = {"class": "read", "plan": "basic", "units": "1", "shard": "0", "hosts": "1", "volume": "1",
+               "block": "1", "timeout": "", "body": "", "retry": ""} | options(words[1:])  # fmt: skip
+        body = has["body"].encode()
+        # The module takes less time than the class has for a client's repeat, whose aim is partly gone.
+        has["timeout"] = has["timeout"] or ("5000" if has["class"] == "write" else "3000")
+        lines = [
+            f"{'PUT' if body else 'GET'} /api HTTP/1.1", "Host: app.svc", f"Request-Id: {words[0]}",
+            f"Request-Class: {has['class']}", f"X-Plan: {has['plan']}", f"Cookie: block={has['block']}",
+            f"Request-Timeout-Ms: {has['timeout']}",
+            f"X-IO: volume={has['volume']},units={has['units']},shard={has['shard']},hosts={has['hosts']}",
+            *([f"Content-Length: {len(body)}"] if body else []),
+            *(["Client-Retry: 1"] if has["retry"] else []),
+        ]  # fmt: skip
+        self._write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def send_get(self, words: Words) -> None:
+        self._write(f"GET {words[0]} HTTP/1.1\r\nHost: app.svc\r\n\r\n".encode())
+
+    def send_raw(self, words: Words) -> None:
+        """raw TEXT [times]: with backslash escapes"""
+        data = words[0].encode().decode("unicode_escape").encode("latin-1")
+        self._write(data * int(words[1] if len(words) > 1 else 1))
+
+    def close(self, words: Words) -> None:
+        if self._connection is not None:
+            self._connection.link.abortConnection()
+
+
+class HttpBrick(Listener):
+    """A brick.  It answers what the scenario says, when it says it; until then a request is held."""
+
+    def __init__(self, reactor: Any, name: str, shard: int) -> None:
+        self.shard = shard
+        self.held: dict[str, HttpConnection] = {}
+        super().__init__(reactor, name)
+
+    def accept(self) -> HttpConnection:
+        return HttpConnection(self, False)
+
+    def opened(self, connection: HttpConnection) -> None:
+        self.open.append(connection)
+
+    def lost(self, connection: HttpConnection) -> None:
+        self.open.remove(connection)
+        for name in [name for name, held in self.held.items() if held is connection]:
+            del self.held[name]
+            self.saw("gone", name)
+
+    def message(self, connection: HttpConnection, head: Head, body: bytes) -> None:
+        name = head.headers.get("request-id", "-")
+        self.held[name] = connection
+        self.saw("request", name, head.method, head.target, body.decode("latin-1"))
+
+    def send_answer(self, words: Words) -> None:
+        """answer ID STATUS [BODY] [not-started] [close]"""
+        flags = [word for word in words[2:] if word in ("not-started", "close")]
+        body = "".join(word for word in words[2:3] if word not in flags).encode()
+        connection = self.held.pop(words[0])
+        head = [f"HTTP/1.1 {words[1]} X", f"Content-Length: {len(body)}"]
+        head += ["Not-Started: 1"] * ("not-started" in flags) + ["Connection: close"] * ("close" in flags)
+        connection.link.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+        if "close" in flags:
+            connection.link.loseConnection()
+
+    def send_raw(self, words: Words) -> None:
+        """raw ID TEXT: on that request's connection, which is held on"""
+        self.held[words[0]].link.write(words[1].encode().decode("unicode_escape").encode("latin-1"))
+
+    def close(self, words: Words) -> None:
+        """close NAME: the brick dies; close NAME ID: the one request's connection breaks"""
+        if words:
+            self.held.pop(words[0]).link.abortConnection()
+        else:
+            super().close(words)
+
+
+class Directory(Listener):
+    """Discovery: a watch gets what changes, and an empty line every 2 s."""
+
+    def __init__(self, reactor: Any, name: str) -> None:
+        self.version = 1
+        self.lines: dict[str, dict[str, Any]] = {}
+        self.watches: list[HttpConnection] = []
+        self.beating = True
+        super().__init__(reactor, name)
+        reactor.callLater(2.0, self._beat)
+
+    def accept(self) -> HttpConnection:
+        return HttpConnection(self, False)
+
+    def opened(self, connection: HttpConnection) -> None:
+        self.open.append(connection)
+
+    def lost(self, connection: HttpConnection) -> None:
+        self.open.remove(connection)
+        if connection in self.watches:
+            self.watches.remove(connection)
+
+    def listing(self, full: bool, only: str = "") -> dict[str, Any]:
+        members = [line for name, line in self.lines.items() if not only or name == only]
+        return {"revision": self.version, "complete": full, "members": members}
+
+    def add(self, brick: HttpBrick, phase: str = "Ready", up_since_ms: int = 0) -> None:
+        self.lines[brick.name] = {
+            "id": brick.name, "host_port": brick.address, "locality": "ruum-1", "flavor": "node-2c",
+            "cell": brick.shard, "phase": phase, "size": 1.0, "up_since_ms": up_since_ms,
+        }  # fmt: skip
+
+    def message(self, connection: HttpConnection, head: Head, body: bytes) -> None:
+        if "follow=1" in head.target:
+            self.saw("watch", head.target.partition("since=")[2])
+            self.watches.append(connection)
+            connection.link.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self._chunk(connection, json.dumps(self.listing(True)))
+        else:
+            text = json.dumps(self.listing(True)).encode()
+            connection.link.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+
+    def _chunk(self, connection: HttpConnection, text: str) -> None:
+        connection.link.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text.encode()))
+
+    def _beat(self) -> None:
+        self._reactor.callLater(2.0, self._beat)
+        if self.beating:
+            for watch in self.watches:
+                self._chunk(watch, "")
+
+    def send(self, words: Words) -> None:
+        """BRICK PHASE [up=MS]: a change; silence: the machine vanishes; cut: all watches end"""
+        if words[0] == "silence":
+            self.beating = False
+        elif words[0] == "cut":
+            for connection in list(self.open):
+                connection.link.abortConnection()
+        elif words[0] not in self.lines:
+            raise ScenarioError(f"the list has no {words[0]!r}")
+        else:
+            line = self.lines[words[0]]
+            line["phase"] = words[1]
+            line["up_since_ms"] = int(options(words).get("up", line["up_since_ms"]))
+            self.version += 1
+            for watch in self.watches if self.beating else []:
+                self._chunk(watch, json.dumps(self.listing(False, words[0])))
--- /dev/null
+++ b/gaugesail/rehearsal/worlds.py
@@ -0,0 +1,175 @@
+"""The two worlds of a rehearsal: memory, where time is the scenario's, and loopback, against a process."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from .. import config as configuration
+from ..app import Head
+from ..core.clock import ReactorClock
+from ..iscsi.app import IscsiHead
+from ..iscsi.operator import read_operator, write_toml
+from ..logs import make_logger
+from .memory import MemoryReactor
+from .peers import Peer, ScenarioError
+from .scenario import Player, ScenarioFailed, Step, split
+
+START_S = 15.0
+
+
+class MemoryWorld:
+    """The daemon's own code on a reactor in memory: the same scenario always plays the same way."""
+
+    def __init__(self) -> None:
+        self.reactor = MemoryReactor()
+        self.reactor.advance(1_000_000.0)
+        self.head: Any = None
+        self.log = open(os.devnull, "w")  # noqa: SIM115  closed with the world
+        self.clock = ReactorClock(
+            self.reactor, lambda: round(self.reactor.seconds() * 1e9), lambda: 1_700_000_000 * 10**9
+        )
+
+    def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]:
+        log = make_logger(self.log)
+        if wire == "iscsi":
+            self.head = IscsiHead(self.reactor, read_operator(config), log, self.clock)
+        else:
+            self.head = Head(self.reactor, configuration.read(config, {}), log, self.clock)
+        self.head.stopped.addCallback(lambda _: daemon.saw("exit", "0"))
+        self.head.start()
+        return self.head.address  # type: ignore[no-any-return]
+
+    def change(self, config: dict[str, Any]) -> None:
+        """The operator's file has been edited and the daemon told so."""
+        self.head.reload(read_operator(config))
+
+    def stop(self) -> None:
+        self.head.stop()
+
+    def until(self, done: Callable[[], bool], seconds: float) -> bool:
+        return self.reactor.run_until(done, seconds)
+
+    def settle(self) -> None:
+        self.pass_time(0.001)
+
+    def pass_time(self, seconds: float) -> None:
+        self.reactor.run_until(lambda: False, seconds)
+
+    def end(self) -> None:
+        self.log.close()
+
+
+class LoopbackWorld:
+    """The daemon as a process of its own, met through sockets on 127.0.0.1."""
+
+    def __init__(self) -> None:
+        from twisted.internet import reactor  # importing it installs it: only this world does
+
+        self.reactor: Any = reactor
+        self._folder = tempfile.TemporaryDirectory()
+        self._file = Path(self._folder.name) / "config"
+        self._process: subprocess.Popen[str] | None = None
+        self._daemon: Peer | None = None
+        self._address: list[tuple[str, int]] = []
+
+    def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]:
+        self._daemon = daemon
+        self._write(wire, config)
+        command = [sys.executable, "-m", "gaugesail"] + ([str(self._file)] if wire == "iscsi" else [])
+        self._process = subprocess.Popen(
+            command, env=os.environ | {"BALANCER_CONFIG": str(self._file)}, stderr=subprocess.PIPE, text=True
+        )
+        threading.Thread(target=self._read_log, daemon=True).start()
+        if not self.until(lambda: bool(self._address), START_S):
+            raise ScenarioError("the daemon did not start")
+        return self._address[0]
+
+    def _write(self, wire: str, config: dict[str, Any]) -> None:
+        self._file.write_text(write_toml(config) if wire == "iscsi" else json.dumps(config))
+
+    def _read_log(self) -> None:
+        assert self._process is not None and self._process.stderr is not None
+        for line in self._process.stderr:
+            if "event=listening" in line and not self._address:
+                host, _, port = line.partition("address=")[2].split()[0].rpartition(":")
+                self._address.append((host, int(port)))
+            elif "level=error" in line:
+                sys.stderr.write(line)
+
+    def change(self, config: dict[str, Any]) -> None:
+        self._write("iscsi", config)
+        assert self._process is not None
+        self._process.send_signal(signal.SIGHUP)
+
+    def stop(self) -> None:
+        assert self._process is not None
+        self._process.send_signal(signal.SIGTERM)
+
+    def until(self, done: Callable[[], bool], seconds: float) -> bool:
+        end = time.monotonic() + seconds
+        while not done():
+            if time.monotonic() > end:
+                return False
+            self.reactor.iterate(0.005)
+            if self._process is not None and self._daemon is not None:
+                code = self._process.poll()
+                if code is not None:
+                    self._daemon.saw("exit", str(code))
+                    self._daemon = None
+        return True
+
+    def settle(self) -> None:
+        self.pass_time(0.05)
+
+    def pass_time(self, seconds: float) -> None:
+        self.until(lambda: False, seconds)
+
+    def end(self) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+        self._folder.cleanup()
+
+
+def rehearse(steps: list[Step], world: MemoryWorld | LoopbackWorld) -> None:
+    """Play one scenario; ScenarioFailed or ScenarioError tells what is wrong."""
+    player = Player(world, steps)
+    try:
+        player.play()
+    finally:
+        player.finish()
+        world.end()
+
+
+def main(arguments: list[str]) -> int:
+    """Play files against a daemon on loopback; the first failing line of each goes to standard output."""
+    if not arguments or arguments[0].startswith("-"):
+        print("usage: python -m gaugesail.rehearsal FILE...", file=sys.stderr)
+        return 2
+    worst = 0
+    for name in arguments:
+        try:
+            scenarios = split(Path(name).read_text())
+        except (OSError, ValueError, ScenarioError) as error:
+            print(f"{name}: {error}", file=sys.stderr)
+            worst = 2
+            continue
+        for title, steps in scenarios.items():
+            try:
+                rehearse(steps, LoopbackWorld())
+            except (ScenarioFailed, ScenarioError) as error:
+                print(f"{name}: {title}: {error}")
+                worst = max(worst, 1)
+            else:
+                print(f"{name}: {title}: passed")
+    return worst
--- /dev/null
+++ b/tests/rehearse.py
@@ -0,0 +1,26 @@
+"""The shared helper: play scenarios in memory, where time is their own and each plays the same every time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from gaugesail.rehearsal.scenario import Step, split
+from gaugesail.rehearsal.worlds import MemoryWorld, rehearse
+
+FOLDER = Path(__file__).parent / "scenarios"
+
+
+def scenarios(*files: str) -> dict[str, list[Step]]:
+    """All scenarios of some files of the folder, by file and name."""
+    found = {}
+    for file in files:
+        for name, steps in split((FOLDER / file).read_text()).items():
+            found[f"{file}: {name}"] = steps
+    return found
+
+
+def play(steps: list[Step] | str) -> MemoryWorld:
+    """Play one scenario; what does not come true raises.  The world is returned for a look at its head."""
+    world = MemoryWorld()
+    rehearse(split(steps)[""] if isinstance(steps, str) else steps, world)
+    return world
