--- a/gaugesail/rehearsal/iscsi_peers.py
+++ b/gaugesail/rehearsal/iscsi_peers.py
@@ -144,9 +144,12 @@
     def _answer_r2t(self, pdu: Pdu) -> None:
         data = self._writes.get(pdu.itt)
         if data is not None:
-            start, size = pdu.word(40), pdu.word(44)
-            words = {20: pdu.word(20), 36: 0, 40: start}
-            self._wire().write(Op.DATA_OUT, FINAL, pdu.itt, words, data=data[start : start + size])
+            start, end, number = pdu.word(40), pdu.word(40) + pdu.word(44), 0
+            while start < end:
+                part = data[start : min(end, start + 8192)]
+                words = {20: pdu.word(20), 36: number, 40: start}
+                start, number = start + len(part), number + 1
+                self._wire().write(Op.DATA_OUT, FINAL if start == end else 0, pdu.itt, words, data=part)
 
     def send_login(self, words: Words) -> None:
         """login [Key=value ...] [stage=N]: to the full feature phase in one step"""
@@ -161,6 +164,11 @@
 
         made.addCallbacks(up, lambda failure: self.saw("refused"))
 
+    def send_connect(self, words: Words) -> None:
+        """Connect and send no login."""
+        made = dial(self._reactor, self._address(), 5.0, lambda: PduConnection(self))
+        made.addCallbacks(lambda _: self.saw("connected"), lambda failure: self.saw("refused"))
+
     def _command(self, cdb: bytes, words: Words, flags: int, size: int, data: bytes = b"") -> None:
         given, connection = options(words), self._wire()
         sn = int(given.get("sn", connection.cmd_sn))
@@ -183,6 +191,10 @@
         cdb = wire.block_cdb(False, int(given.get("lba", 0)), blocks)
         self._command(cdb, words, 0x40, blocks * BLOCK)
 
+    def send_many_reads(self, words: Words) -> None:
+        for tag in range(int(words[0])):
+            self.send_read([f"tag={tag + 1000}"])
+
     def send_write(self, words: Words) -> None:
         """write ... [immediate=BYTES]"""
         given = options(words)
@@ -192,7 +204,8 @@
         if "silent" in words:
             del self._writes[tag]  # an R2T of it is never answered
         cdb = wire.block_cdb(True, int(given.get("lba", 0)), blocks)
-        self._command(cdb, words, 0x20, len(data), data[: int(given.get("immediate", 0))])
+        immediate = given.get("fill", "w").encode() * int(given.get("immediate", 0))
+        self._command(cdb, words, 0x20, len(data), immediate)
 
     def send_cdb(self, words: Words) -> None:
         """cdb HEX [length=N]: any command that reads"""
@@ -286,6 +299,11 @@
         """Take what comes and never say anything by itself again."""
         self._mute = True
 
+    def send_break(self, words: Words) -> None:
+        """All sessions break; new ones are taken."""
+        for connection in list(self.open):
+            connection.link.abortConnection()
+
     def send_window(self, words: Words) -> None:
         """window N: how many commands may be in flight from the next answer on"""
         for connection in self.open:
