--- /dev/null
+++ b/gaugesail/importer/__init__.py
@@ -0,0 +1,1 @@
+"""Reads Apache balancer blocks and mod_jk worker files into the operator's file."""
--- /dev/null
+++ b/gaugesail/importer/__main__.py
@@ -0,0 +1,8 @@
+"""Reads a balancer's configuration into the operator's file."""
+
+import sys
+
+from .cli import main
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
