Test the engine, the HTTP parts and the program as it is started

Seen: the engine's guards were only met through whole scenarios. Added: a rig with a module that misbehaves (a second attempt, sends past the cap and after the end, silence, exceptions), property tests of the parser and the buffers, and scenarios against a process on loopback with times that no slow machine can reach. Conclusion: the guards hold without the module's help.

--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,183 @@
+"""What the engine holds whatever the module, a front or a transport does; on a clock of its own."""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+import pytest
+
+from gaugesail.core.clock import ReactorClock
+from gaugesail.core.engine import Engine
+from gaugesail.core.ports import Attempt, Order
+from gaugesail.logs import make_logger
+from gaugesail.rehearsal.memory import MemoryReactor
+from marllift import interface as api
+from marllift.interface import Result
+
+NODE = b"n1"
+
+
+class Rig:
+    """An engine with a module that does what it is told, and a transport that only takes notes."""
+
+    def __init__(self) -> None:
+        self.reactor = MemoryReactor()
+        self.clock = ReactorClock(self.reactor, lambda: round(self.reactor.seconds() * 1e9), lambda: 10**18)
+        self.sent: list[Attempt] = []
+        self.aborted: list[Attempt] = []
+        self.events: list[api.Event] = []
+        self.answers: list[tuple[str, Any]] = []
+        self.script: dict[type, list[api.Action]] = {}
+        settings = api.Settings(
+            (api.RequestClass("read", 500_000, 3_000_000),), (api.Plan("basic"),), max_attempts=2
+        )
+        transport: Any = self
+        self.engine = Engine(settings, 1, self.clock, transport, transport, make_logger(io.StringIO()), 4)
+        gateway: Any = self
+        self.engine._gateway = gateway
+        self.engine.start(api.NodeList(api.ListKind.CACHED, (api.Node(NODE, 0),)))
+
+    def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
+        self.events += events
+        actions = [action for event in events for action in self.script.pop(type(event), [])]
+        if any(isinstance(action, api.Log) for action in actions):
+            raise RuntimeError("told to")
+        return actions
+
+    def send(self, attempt: Attempt, sink: Any) -> None:
+        self.sent.append(attempt)
+
+    def abort(self, attempt: Attempt) -> None:
+        self.aborted.append(attempt)
+
+    def served(self, answer: Any) -> None:
+        self.answers.append(("served", answer))
+
+    def refused(self, hold_off_us: int) -> None:
+        self.answers.append(("refused", hold_off_us))
+
+    def failed(self, reason: str) -> None:
+        self.answers.append(("failed", reason))
+
+    def take(self, *actions: api.Action, name: str = "a") -> int:
+        self.script[api.Request] = list(actions)
+        ticket = self.engine.take(Order(name, 0, 1_000_000, "payload"), self)
+        self.reactor.advance(0)
+        return ticket
+
+    def outcomes(self) -> list[Result]:
+        return [event.result for event in self.events if isinstance(event, api.Outcome)]
+
+
+def test_a_second_attempt_beside_one_that_is_out_is_not_sent() -> None:
+    rig = Rig()
+    rig.take(api.Send(1, NODE), api.Send(1, NODE))
+    rig.reactor.advance(0)
+    assert len(rig.sent) == 1 and rig.outcomes() == [Result.MOOT]
+
+
+def test_attempts_past_the_cap_are_not_sent() -> None:
+    rig = Rig()
+    rig.take(api.Send(1, NODE))
+    for _ in range(2):
+        rig.script[api.Outcome] = [api.Send(1, NODE)]
+        rig.engine.attempt_ended(rig.sent[-1], Result.ERROR)
+        rig.reactor.advance(0)
+    assert len(rig.sent) == 2
+    rig.reactor.advance(0)
+    assert rig.outcomes() == [Result.ERROR, Result.ERROR, Result.MOOT]
+
+
+def test_nothing_is_sent_after_the_end() -> None:
+    rig = Rig()
+    rig.take(api.Refuse(1, 5), api.Send(1, NODE))
+    rig.reactor.advance(0)
+    assert not rig.sent and rig.answers == [("refused", 5)] and rig.outcomes() == [Result.MOOT]
+
+
+def test_one_final_answer_whatever_is_told_later() -> None:
+    rig = Rig()
+    rig.take(api.Send(1, NODE))
+    rig.script[api.Outcome] = [api.Fail(1), api.Refuse(1)]
+    rig.engine.attempt_ended(rig.sent[0], Result.SERVED, b"x")
+    rig.engine.attempt_ended(rig.sent[0], Result.RESET)
+    rig.reactor.advance(2)
+    assert rig.answers == [("served", b"x")] and rig.outcomes() == [Result.SERVED]
+
+
+def test_a_silent_module_still_answers_before_the_client_leaves() -> None:
+    rig = Rig()
+    rig.take()
+    rig.reactor.advance(0.9)
+    assert not rig.answers
+    rig.reactor.advance(0.0999)
+    assert rig.answers == [("failed", "out of time")]
+
+
+def test_an_attempt_is_aborted_at_its_deadline_before_the_module_hears() -> None:
+    rig = Rig()
+    rig.take(api.Send(1, NODE, 200_000))
+    rig.reactor.advance(0.1999)
+    assert not rig.aborted
+    rig.reactor.advance(0.0002)
+    assert rig.aborted == rig.sent and rig.outcomes() == [Result.TIMEOUT]
+
+
+def test_cancelled_is_aborted_and_told_once() -> None:
+    rig = Rig()
+    rig.take(api.Send(1, NODE), api.Cancel(1, 0), api.Cancel(1, 0))
+    rig.reactor.advance(0)
+    assert rig.aborted == rig.sent and rig.outcomes() == [Result.CANCELLED]
+
+
+def test_a_module_that_raises_loses_no_request_and_not_the_head() -> None:
+    rig = Rig()
+    rig.take(api.Log("raise"))
+    assert rig.answers == [("failed", "failed")] and rig.engine.counts["module_raised"] == 1
+    rig.take(api.Refuse(2), name="b")
+    assert rig.answers[-1] == ("refused", 0)
+
+
+def test_a_transport_that_raises_ends_the_attempt() -> None:
+    rig = Rig()
+    rig.send = None  # type: ignore[method-assign, assignment]
+    rig.take(api.Send(1, NODE))
+    rig.reactor.advance(0)
+    assert rig.outcomes() == [Result.RESET]
+
+
+def test_a_front_that_raises_harms_nobody_else() -> None:
+    rig = Rig()
+    rig.refused = None  # type: ignore[method-assign, assignment]
+    rig.take(api.Refuse(1))
+    rig.take(api.Fail(2), name="b")
+    assert rig.answers == [("failed", "failed")] and rig.engine.idle
+
+
+def test_more_than_the_most_open_are_refused_at_the_door() -> None:
+    rig = Rig()
+    for n in range(5):
+        rig.take(name=str(n))
+    rig.reactor.advance(0)
+    assert rig.engine.open_requests == 4 and [how for how, _ in rig.answers] == ["refused"]
+
+
+def test_events_of_one_tick_come_together() -> None:
+    rig = Rig()
+    before = len(rig.events)
+    seen: list[int] = []
+    rig.handle = lambda now, events: (seen.append(len(events)), [])[1]  # type: ignore[method-assign, func-returns-value]
+    for n in range(3):
+        rig.engine.take(Order(str(n), 0, 1_000_000, None), rig)
+    rig.reactor.advance(0)
+    assert seen == [3] and len(rig.events) == before
+
+
+@pytest.mark.parametrize("left", [0, 3_000])
+def test_a_request_without_time_is_answered_and_not_sent(left: int) -> None:
+    rig = Rig()
+    rig.script[api.Request] = [api.Send(1, NODE)]
+    rig.engine.take(Order("a", 0, left, None), rig)
+    rig.reactor.advance(0.01)
+    assert not rig.sent and rig.answers == [("failed", "out of time")]
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,147 @@
+"""The HTTP parser, the buffers and the configuration: what is taken and what is not."""
+
+from __future__ import annotations
+
+import json
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaugesail import config
+from gaugesail.buffers import Body, BufferPool, PoolEmpty
+from gaugesail.http.discovery import BadList, read_list, split_address
+from gaugesail.http.parser import BadMessage, Data, End, Head, Parser
+from gaugesail.rehearsal import defaults
+
+STREAM = (
+    b"\r\nPUT /api?q=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
+    b"GET /x HTTP/1.0\r\n\r\n"
+    b"PUT /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
+)
+
+
+def read(pieces: list[bytes], answers: bool = False) -> list[tuple[str, bytes, bool]]:
+    parser, found, body = Parser(answers), [], b""
+    head: Head | None = None
+    for piece in pieces:
+        parser.feed(piece)
+        more = True
+        while more:
+            more = False
+            for part in parser.parts():
+                if isinstance(part, Head):
+                    head, body = part, b""
+                elif isinstance(part, Data):
+                    body += part.data
+                elif isinstance(part, End) and head is not None:
+                    found.append((head.target or str(head.status), body, head.keep_alive))
+                    more = True
+    return found
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=12))
+def test_messages_are_the_same_however_they_are_cut(cuts: list[int]) -> None:
+    edges = [0, *sorted(cuts), len(STREAM)]
+    pieces = [STREAM[a:b] for a, b in pairwise(edges)]
+    assert read(pieces) == [("/api?q=1", b"hello", True), ("/x", b"", False), ("/c", b"abcde", True)]
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_read_or_refused_and_never_raise_else(data: bytes) -> None:
+    for answers in (False, True):
+        try:
+            read([data], answers)
+        except BadMessage as error:
+            assert 400 <= error.status < 600
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"GET / HTTP/1.1\r\nA : 1\r\n\r\n", b"GET / HTTP/1.1\r\nA: 1\r\n b\r\n\r\n",
+        b"GET  / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\nContent-Length: +5\r\n\r\n", b"GET / HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\n",
+        b"GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"GET / HTTP/2.0\r\n\r\n",
+        b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", b"GET / HTTP/1.1\r\nA: \x00\r\n\r\n",
+        b"PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+        b"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n",
+        b"PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", b"x" * 17000,
+    ],
+)  # fmt: skip
+def test_what_two_parties_could_read_differently_is_refused(bad: bytes) -> None:
+    with pytest.raises(BadMessage):
+        read([bad])
+
+
+@pytest.mark.parametrize("bad", [b"HTTP/1.1 2000 OK\r\n\r\n", b"HTTP/1.1\r\n\r\n", b"ICY 200 OK\r\n\r\n"])
+def test_a_bad_status_line_is_refused(bad: bytes) -> None:
+    with pytest.raises(BadMessage):
+        read([bad], answers=True)
+
+
+@given(st.lists(st.binary(max_size=40), max_size=8))
+def test_a_body_gives_back_what_went_in_and_all_its_buffers(pieces: list[bytes]) -> None:
+    pool = BufferPool(1000, size=16)
+    body = Body(pool)
+    for piece in pieces:
+        body.append(piece)
+    assert body.read() == b"".join(pieces)
+    body.release()
+    body.release()
+    assert pool.out == 0
+
+
+def test_the_pool_is_bounded_and_its_buffers_come_back() -> None:
+    pool = BufferPool(2, size=4)
+    body = Body(pool)
+    with pytest.raises(PoolEmpty):
+        body.append(b"x" * 9)
+    body.release()
+    body.append(b"x" * 8)
+    assert pool.out == 2
+
+
+def test_the_list_keeps_zero_and_turns_milliseconds_into_the_clocks_microseconds() -> None:
+    row = {"id": "n", "host_port": "10.0.0.1:9", "cell": 3, "phase": "Ready", "up_since_ms": 0}
+    gone = {"id": "g", "cell": 1, "phase": "Gone", "up_since_ms": 1_700_000_000_123}
+    version, full, nodes, lines = read_list(
+        {"revision": 4, "complete": False, "members": [row, gone]}, [], []
+    )
+    assert (version, full, nodes[0].started_us, nodes[1].started_us) == (4, False, 0, 1_700_000_000_123_000)
+    assert lines[b"n"].ready and not lines[b"g"].ready
+
+
+@pytest.mark.parametrize("bad", [{}, {"revision": 1, "complete": True, "members": [{"id": "n"}]}, []])
+def test_a_list_that_is_none_is_refused(bad: Any) -> None:
+    with pytest.raises(BadList):
+        read_list(bad, [], [])
+
+
+@pytest.mark.parametrize("bad", ["host:80", "1.2.3.4", "1.2.3.4:99999", "1.2.3.400:1", None])
+def test_an_address_is_numbers(bad: object) -> None:
+    with pytest.raises(BadList):
+        split_address(bad)
+
+
+def test_a_configuration_is_read_and_what_is_wrong_is_named(tmp_path: Path) -> None:
+    data = {"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": 100}, "settings": defaults.settings()}  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(data))
+    read = config.load({"BALANCER_CONFIG": str(path)})
+    assert read.seed == 0x8C1F30D27A5BE964 and read.settings.classes[1].writes
+    assert read.limits.client_connections + read.limits.node_connections <= 90
+    for change, words in (
+        ({"listen": "x"}, "'x'"),
+        ({"settings": 3}, "settings"),
+        ({"seed": "?"}, "invalid"),
+    ):
+        with pytest.raises(config.ConfigError, match=words):
+            config.read(data | change, {})
+    with pytest.raises(config.ConfigError, match="BALANCER_CONFIG"):
+        config.load({})
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,55 @@
+"""The program as it is started: a head on loopback, the rehearsal's exit codes, bad configurations."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def run(*arguments: str, **environ: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", *arguments], cwd=ROOT, env=os.environ | environ,
+        capture_output=True, text=True, timeout=120, check=False,
+    )  # fmt: skip
+
+
+def test_scenarios_pass_against_a_process_on_loopback() -> None:
+    done = run("gaugesail.rehearsal", "tests/loopback/served.txt")
+    assert (done.returncode, done.stdout.count(": passed")) == (0, 2), done.stdout + done.stderr
+
+
+def test_a_scenario_that_fails_names_its_line_and_exits_1(tmp_path: Path) -> None:
+    path = tmp_path / "fails.txt"
+    path.write_text("client c1\nsend c1 get /_health\nexpect c1 404\n")
+    done = run("gaugesail.rehearsal", str(path))
+    assert done.returncode == 1 and "line 3: c1 saw ['200', 'ok'], not ['404']" in done.stdout
+
+
+def test_a_file_that_is_no_scenario_exits_2(tmp_path: Path) -> None:
+    path = tmp_path / "bad.txt"
+    path.write_text("jump\n")
+    done = run("gaugesail.rehearsal", str(path))
+    assert done.returncode == 2 and "line 1: unknown word 'jump'" in done.stderr
+
+
+def test_a_bad_configuration_is_named_and_exits_2(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text('[[class]]\nname = "read"\naim_ms = 0\n')
+    done = run("gaugesail", str(path))
+    assert done.returncode == 2 and "[[class]] 1: aim_ms: 0 is not from 1" in done.stderr
+    done = run("gaugesail", BALANCER_CONFIG=str(tmp_path / "none.json"))
+    assert done.returncode == 2 and "none.json" in done.stderr
+
+
+def test_importing_the_packages_installs_no_reactor() -> None:
+    code = "import gaugesail.app, gaugesail.iscsi.app, sys; sys.exit('twisted.internet.reactor' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
+
+
+def test_the_adapter_never_imports_twisted() -> None:
+    code = "import marllift.benchlink, sys; sys.exit('twisted' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
