Let the module tell refused clients when to come back

Seen: the module's refusals carried no time, so that the front had to put in one of its own, and the simulator's clients were told nothing. A refusal comes when the aim has gone (decide.py, _end): a retry then earns next to nothing, so the longest time that clients heed is told. Ruled out: holding a refusal back, which the users forbid; a shorter time, which only brings the load sooner.

--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -41,7 +41,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.set, self.born, self.now = settings, now, now
         self.rng = random.Random(seed)
-        self.classes = settings.classes
+        self.classes, self.hold_off = settings.classes, settings.max_hold_off_us * settings.may_hold_off
         self.target = [spec.aim_us * TARGET for spec in self.classes]
         self.tick = max(settings.tick_us, min(TICK_US, min(spec.aim_us for spec in self.classes) // TICKS))
         self.tiers = (1.0, settings.share_worth, settings.spare_worth)
@@ -193,7 +193,7 @@
         spec = job.spec
         keyed_everywhere = spec.effect is Effect.KEYED and spec.group is api.Group.ALL
         harmless = spec.effect is Effect.SAFE or job.risky_at is None or keyed_everywhere
-        self.acts.append(api.Refuse(job.id) if harmless else api.Fail(job.id))
+        self.acts.append(api.Refuse(job.id, self.hold_off) if harmless else api.Fail(job.id))
         self._forget(job)
 
     def _may_repeat(self, job: Job) -> bool:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -15,6 +15,13 @@
     assert isinstance(rig.answers[number], api.Refuse)
 
 
+def test_a_refusal_tells_the_longest_time_that_clients_heed_where_they_are_told_one() -> None:
+    for may, told in ((True, 400_000), (False, 0)):
+        rig = Driver(driver.settings(may_hold_off=may, max_hold_off_us=400_000), nodes=0)
+        number = rig.ask(give_up=9000)
+        assert rig.answers[number] == api.Refuse(number, told)
+
+
 def test_errors_in_a_row_cut_the_window_to_single_trials() -> None:
     rig = Driver(driver.settings(budget_window_us=0))
     book = rig.gateway.nodes[driver.node_id(0)]
