Fix a stall behind interim answers, a dropped watch's late dial, pipelined time; limit log lines

Seen by reading, then shown by scenarios: bricks.py took one message of a segment only, so that a 1xx answer hid the real one behind it until more bytes came; a discovery dial that was given up still sent its request once connected and stayed open unwatched; a pipelined request's time ran from its turn (front.py, answer) and not from its arrival; lines about bad peers were not bounded.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -19,6 +19,7 @@
 from .http.bricks import BrickPool
 from .http.discovery import DiscoveryClient
 from .http.front import ClientFront
+from .logs import LimitedLogger
 
 ACCEPT_US = 450_000  # after SIGTERM: new connections come for up to 0.4 s
 SERVE_US = 700_000  # after SIGTERM: until then, connections in use are kept
@@ -33,8 +34,9 @@
     def __init__(
         self, reactor: Reactor, clock: Clock, log: Logger, listen: tuple[str, int], memory_mb: int
     ) -> None:
-        self._reactor, self._log, self._listen = reactor, log, listen
+        self._reactor, self._listen = reactor, listen
         self.clock = clock
+        self._log = LimitedLogger(log, clock.now_us)
         # A quarter of the memory for buffers: the interpreter and the books take about 30 MB.
         self.buffers = BufferPool(max(64, memory_mb * 1024 * 1024 // 4 // BUFFER_BYTES))
         self.engine: Engine
@@ -97,6 +99,7 @@
                 clients=self.front.connections,
                 nodes=self.transport.connections,
                 buffers=self.buffers.out,
+                lines_dropped=self._log.dropped,
                 **fresh,
             )
 
@@ -109,6 +112,7 @@
     ) -> None:
         limits = config.limits
         super().__init__(reactor, clock or ReactorClock(reactor), log, config.listen, limits.memory_mb)
+        log = self._log
         self._known = config.known
         self.transport = BrickPool(
             reactor,
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -109,6 +109,16 @@
             return
         self._parser.feed(data)
         try:
+            self._read()
+        except (BadMessage, PoolEmpty):
+            job, self._job = self._job, None
+            self.abort()
+            self._pool.finish(job, Result.ERROR)
+
+    def _read(self) -> None:
+        whole = True
+        while whole:  # a 1xx answer is whole and the real one may be right behind it
+            whole = False
             for part in self._parser.parts():
                 if isinstance(part, Head):
                     self._head = part
@@ -119,10 +129,8 @@
                 elif self._head is not None and self._head.status >= 200:
                     self._whole()
                     return
-        except (BadMessage, PoolEmpty):
-            job, self._job = self._job, None
-            self.abort()
-            self._pool.finish(job, Result.ERROR)
+                else:
+                    whole = True
 
     def _whole(self) -> None:
         head, body, job = self._head, self._body, self._job
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -85,6 +85,9 @@
 
     def connectionMade(self) -> None:
         host = self._owner.host
+        if self.ended:  # given up while it was being dialled
+            self.link.abortConnection()
+            return
         self.link.setTcpNoDelay(True)
         self.link.write(f"GET {self._target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -100,7 +100,8 @@
         self._ticket: int | None = None  # of the request in hand; 0 where the engine took none
         self._keep = True
         self._paused = self._full = self._closing = self._reading = False
-        self._since = 0  # when the request now arriving began, or the client stopped reading
+        self._since = 0  # when the first byte of the request now arriving, or waiting, was seen
+        self._stuck_since = 0  # when the client stopped reading, or we began to close
         self.lost = False
 
     @property
@@ -123,6 +124,7 @@
     def dataReceived(self, data: bytes) -> None:
         if self._closing or self.lost:
             return
+        # A pipelined request's time runs from here too, not from when its turn comes.
         if self._parser.between:
             self._since = self._front.clock.now_us()
         self._parser.feed(data)
@@ -136,7 +138,7 @@
     # -- the transport tells us how the client reads --
 
     def pauseProducing(self) -> None:
-        self._full, self._since = True, self._front.clock.now_us()
+        self._full, self._stuck_since = True, self._front.clock.now_us()
 
     def resumeProducing(self) -> None:
         self._full = False
@@ -219,7 +221,6 @@
         if self._paused:
             self._paused = False
             self.link.resumeProducing()
-        self._since = self._front.clock.now_us()
         if self._parser.buffered and not self._reading:
             self._front.clock.call_later(0, self._next)
 
@@ -240,13 +241,13 @@
     def close(self) -> None:
         if not self._closing and not self.lost:
             self._closing = True
-            self._since = self._front.clock.now_us()
+            self._stuck_since = self._front.clock.now_us()
             self.link.unregisterProducer()
             self.link.loseConnection()
 
     def sweep(self, now: int) -> None:
         """Ends what takes too long: a request that never becomes whole, a client that does not read."""
-        if (self._full or self._closing) and now - self._since > SLOW_READER_US:
+        if (self._full or self._closing) and now - self._stuck_since > SLOW_READER_US:
             self.link.abortConnection()
         elif self._ticket is None and not self._parser.between and now - self._since > HALF_SENT_US:
             self._front.engine.counts["half_sent"] += 1
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -37,6 +37,7 @@
     def __init__(self, reactor: Reactor, operator: Operator, log: Logger, clock: Clock | None = None) -> None:
         super().__init__(reactor, clock or ReactorClock(reactor), log, operator.listen, operator.memory_mb)
         self._operator = operator
+        log = self._log
         self.transport = NodePool(
             reactor, self.clock, self.buffers, log, operator.initiator, operator.connect_timeout_us
         )
--- a/gaugesail/rehearsal/peers.py
+++ b/gaugesail/rehearsal/peers.py
@@ -128,9 +128,12 @@
         self._reactor, self._address = reactor, address
         self._connection: HttpConnection | None = None
         self._unsent: list[bytes] = []
+        self._stalled = False
 
     def opened(self, connection: HttpConnection) -> None:
         self._connection = connection
+        if self._stalled:
+            connection.link.pauseProducing()
         for data in self._unsent:
             connection.link.write(data)
         self._unsent = []
@@ -169,6 +172,10 @@
         ]  # fmt: skip
         self._write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
+    def send_stall(self, words: Words) -> None:
+        """Never read what comes."""
+        self._stalled = True
+
     def send_get(self, words: Words) -> None:
         self._write(f"GET {words[0]} HTTP/1.1\r\nHost: app.svc\r\n\r\n".encode())
 
