Answer a client even when a front of ours raises, and log what Twisted catches

Seen by reading: an exception in a front's dataReceived is caught by Twisted, which then drops the connection: the request in hand would be lost. Now the HTTP front answers 500 and the target ends the one command (front_raised); what nobody catches becomes a callback_raised line in place of a bare traceback. Conclusion: a fault of ours costs one request at most.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.logger import globalLogBeginner
 
 from marllift.interface import NodeList
 
@@ -149,6 +150,12 @@
         return news
 
 
+def _twisted_event(log: Logger, event: Any) -> None:
+    failure = event.get("log_failure")
+    if failure is not None:
+        log.error("callback_raised", error=repr(failure.value), trace=failure.getTraceback()[-2000:])
+
+
 def run(reactor: Any, log: Logger, arguments: list[str]) -> int:
     """Run a head until SIGTERM: by the platform's environment, or by an operator's file.  The exit code."""
     try:
@@ -164,6 +171,9 @@
         log.error("bad_configuration", error=str(error))
         return 2
     failed: list[int] = []
+    # What a callback raises and nobody catches is logged like the rest, on a line of its own.
+    observer: Any = lambda event: _twisted_event(log, event)  # noqa: E731
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
 
     def up() -> None:
         # Twisted's own handler would stop at once; ours finishes what was taken.
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -177,6 +177,9 @@
         except PoolEmpty:
             self._front.engine.counts["no_buffers"] += 1
             self.answer(503, b"no memory", close=True, hold_off_us=self._front.hold_off_us)
+        except Exception as error:  # a fault of ours: Twisted would drop the connection without an answer
+            self._front.raised(error)
+            self.answer(500, b"internal fault", close=True)
         finally:
             self._reading = False
 
@@ -325,6 +328,10 @@
         if self.closing and not self._open and self._on_idle is not None:
             self._on_idle()
 
+    def raised(self, error: Exception) -> None:
+        self.engine.counts["front_raised"] += 1
+        self._log.error("front_raised", error=repr(error))
+
     def sweep(self) -> None:
         now = self.clock.now_us()
         for connection in list(self._open):
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -163,6 +163,11 @@
                     self._reject(error.reason, pdu.header(), str(error))
                     if self._state == "login":
                         self.close()
+                except Exception as error:  # a fault of ours ends the one command, not the session
+                    self._front.engine.counts["front_raised"] += 1
+                    self._front.log.error("front_raised", error=repr(error))
+                    if (task := self._tasks.get(pdu.itt)) is not None:
+                        self.check(task, HARDWARE, NODE_FAILED)
         except BadPdu as error:
             # The framing is lost: nothing after this can be read.
             self._reject(error.reason, error.header, str(error))
--- a/gaugesail/rehearsal/iscsi_peers.py
+++ b/gaugesail/rehearsal/iscsi_peers.py
@@ -247,12 +247,14 @@
         self.held: dict[str, tuple[PduConnection, Pdu]] = {}
         self._mute = False
         self._count = 0
+        self._window = 16
         super().__init__(reactor, name)
 
     def accept(self) -> PduConnection:
         return PduConnection(self)
 
     def opened(self, connection: PduConnection) -> None:
+        connection.window = self._window
         self.open.append(connection)
 
     def lost(self, connection: PduConnection) -> None:
@@ -306,8 +308,9 @@
 
     def send_window(self, words: Words) -> None:
         """window N: how many commands may be in flight from the next answer on"""
+        self._window = int(words[0])
         for connection in self.open:
-            connection.window = int(words[0])
+            connection.window = self._window
 
     def send_data(self, words: Words) -> None:
         """data N LETTER [part=BYTES offset=BYTES]: a whole read with its status, or a part without"""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -7,6 +7,8 @@
 import sys
 from pathlib import Path
 
+from gaugesail.iscsi.operator import load_operator
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -45,6 +47,12 @@
     assert done.returncode == 2 and "none.json" in done.stderr
 
 
+def test_the_example_of_an_operators_file_is_taken() -> None:
+    operator = load_operator(str(ROOT / "deploy" / "operator.example.toml"))
+    assert len(operator.nodes) == 2 and operator.units[0].extent(2_097_152, 8) == operator.units[0].extents[1]
+    assert operator.units[0].extent(2_097_151, 2) is None
+
+
 def test_importing_the_packages_installs_no_reactor() -> None:
     code = "import gaugesail.iscsi.app, sys; sys.exit('twisted.internet.reactor' in sys.modules)"
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
