Answer at the client limit in place of closing: no request is lost there any more

Lines at fault: front.py, opened: over the limit it closed the new connection, or the first idle one by age. Their cause: a connection accepted a moment before counts as idle until its request is read, and was closed for the next one of the same burst. Now one must have rested for 1 s. The target's login says 'service unavailable' in the same case.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -56,6 +56,7 @@
         host, port = self._listen
         self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         self.address = (host, self._port.getHost().port)
+        self.front.port = self._port
         self.front.listening = True
         self.engine.start(self.known())
         self.clock.call_later(SWEEP_US, self._sweep)
@@ -142,6 +143,7 @@
             self.buffers,
             log,
             limits.client_connections,
+            limits.client_overflow,
             self._finished,
         )
 
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -28,12 +28,20 @@
 
     @property
     def client_connections(self) -> int:
-        return max(1, self.sockets * 6 // 10)
+        return max(1, self.sockets * 75 // 100)
+
+    @property
+    def client_overflow(self) -> int:
+        """Beyond those: clients that are only told to come back."""
+        return max(1, self.sockets * 5 // 100)
 
     @property
     def node_connections(self) -> int:
-        """The rest, but for a tenth for discovery, the listener, logs and what is still closing."""
-        return max(1, self.sockets * 3 // 10)
+        """The rest, but for a twentieth for discovery, the listener, logs and what is still closing.
+
+        A node has at most the window's ceiling (4) of attempts out, so even 14 nodes use a third of 153.
+        """
+        return max(1, self.sockets * 15 // 100)
 
 
 @dataclass(slots=True, frozen=True)
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -22,6 +22,7 @@
 HEALTH_PATH = "/_health"
 HALF_SENT_US = 10_000_000  # how long a request may take to arrive
 SLOW_READER_US = 10_000_000  # how long an answer may wait in our buffer
+RESTED_US = 1_000_000  # an idle connection may be closed for another after this long
 MAX_PIPELINED = 64 * 1024  # input beyond the request in hand, before reading pauses
 REASONS = {
     200: "OK", 400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests",
@@ -103,6 +104,8 @@
         self._since = 0  # when the first byte of the request now arriving, or waiting, was seen
         self._stuck_since = 0  # when the client stopped reading, or we began to close
         self.lost = False
+        self.last_used = front.clock.now_us()
+        self.surplus = False  # came when all places were in use: told to come back while that lasts
 
     @property
     def idle(self) -> bool:
@@ -200,6 +203,11 @@
         except BadMessage:
             body.release()
             raise
+        if self.surplus and self._front.over:
+            body.release()
+            self._front.engine.counts["refused_at_door"] += 1
+            self.answer(503, b"too many clients", close=True, hold_off_us=self._front.hold_off_us)
+            return
         self._body = body  # held until the final answer
         self._ticket = 0
         reply = ClientReply(self)
@@ -211,6 +219,7 @@
         self._drop_body()
         if self.lost:
             return
+        self._front.used(self)
         keep = self._keep and not close and not self._front.closing
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", f"Content-Length: {len(body)}"]
         if hold_off_us is not None:
@@ -295,13 +304,16 @@
         pool: BufferPool,
         log: Logger,
         max_connections: int,
+        overflow: int,
         on_idle: Callable[[], None] | None = None,
     ) -> None:
         self.engine, self.clock, self.pool, self._log = engine, clock, pool, log
         self.reader = OrderReader(settings)
         self.hold_off_us = settings.max_hold_off_us or 1_000_000
         self.listening = self.closing = False
-        self._max, self._on_idle = max_connections, on_idle
+        self._max, self._most, self._on_idle = max_connections, max_connections + overflow, on_idle
+        self.port: Any = None  # what accepts, set when it listens
+        self._held = False  # accepting is held back
         self._open: OrderedDict[ClientConnection, None] = OrderedDict()
 
     @property
@@ -315,16 +327,40 @@
     def buildProtocol(self, addr: Any) -> ClientConnection:
         return ClientConnection(self)
 
+    @property
+    def over(self) -> bool:
+        return len(self._open) > self._max
+
     def opened(self, connection: ClientConnection) -> None:
         self._open[connection] = None
-        if len(self._open) > self._max:
-            # Clients find out from an idle connection's end at no loss; one in use would lose its request.
-            victim = next((c for c in self._open if c.idle and c is not connection), connection)
+        if self.over:
+            # A client finds out from an idle connection's end at no loss, least likely from the one that has
+            # been idle longest.  Closing one that is in use, or the new one, would lose a request: where none
+            # is idle, the new one's request is answered 503.
             self.engine.counts["client_limit"] += 1
-            victim.close()
+            # One that has just come or been answered may have a request on the way: it would be lost.
+            rested = self.clock.now_us() - RESTED_US
+            victim = next((c for c in self._open if c.idle and c.last_used <= rested), None)
+            if victim is not None:
+                victim.close()
+            else:
+                connection.surplus = True
+        if len(self._open) >= self._most and self.port is not None and not self._held:
+            self._held = True  # the rest waits in the kernel, where it costs no descriptor
+            self.port.stopReading()
+
+    def used(self, connection: ClientConnection) -> None:
+        """Keeps the connections in the order in which they were last used."""
+        if connection in self._open:
+            connection.last_used = self.clock.now_us()
+            self._open.move_to_end(connection)
 
     def closed(self, connection: ClientConnection) -> None:
         self._open.pop(connection, None)
+        if self._held and len(self._open) < self._most:
+            self._held = False
+            if self.listening:
+                self.port.startReading()
         if self.closing and not self._open and self._on_idle is not None:
             self._on_idle()
 
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -112,7 +112,7 @@
         self._tasks: dict[int, Task] = {}
         self._since = 0
         self._full = self._closing = False
-        self.lost = False
+        self.lost = self.unwelcome = False
         self._handlers: dict[int, Callable[[Pdu], None]] = {
             Op.NOP_OUT: self._nop, Op.COMMAND: self._command, Op.TASK: self._task, Op.TEXT: self._text,
             Op.DATA_OUT: self._data_out, Op.LOGOUT: self._logout, Op.LOGIN: self._again,
@@ -218,6 +218,8 @@
             status = 0x0201  # no way to authenticate in common
         else:
             status = 0
+        if self.unwelcome:
+            status = 0x0301  # service unavailable: come back later
         if status:
             self._login_answer(pdu, 0, {}, status)
             self.close()
@@ -539,6 +541,7 @@
         self.engine, self.operator, self.clock, self.pool, self.log = engine, operator, clock, pool, log
         self.address = operator.listen
         self.listening = self.closing = False
+        self.port: Any = None
         self._max, self._on_idle = max_connections, on_idle
         self._open: dict[TargetConnection, None] = {}
         self._names = 0
@@ -558,7 +561,7 @@
         self._open[connection] = None
         if len(self._open) > self._max or self.closing:
             self.engine.counts["client_limit"] += 1
-            connection.close()
+            connection.unwelcome = True  # told so at its login
 
     def closed(self, connection: TargetConnection) -> None:
         self._open.pop(connection, None)
--- a/gaugesail/rehearsal/memory.py
+++ b/gaugesail/rehearsal/memory.py
@@ -129,10 +129,17 @@
 class _Port:
     def __init__(self, reactor: MemoryReactor, address: IPv4Address, factory: Any) -> None:
         self._reactor, self._address, self.factory = reactor, address, factory
+        self.held = False  # connections wait to be accepted
 
     def getHost(self) -> IPv4Address:
         return self._address
 
+    def stopReading(self) -> None:
+        self.held = True
+
+    def startReading(self) -> None:
+        self.held = False
+
     def stopListening(self) -> None:
         self._reactor.ports.pop((self._address.host, self._address.port), None)
 
@@ -186,6 +193,9 @@
                 factory.clientConnectionFailed(connector, Failure(TimeoutError()))
                 return
             listener = self.ports.get((host, port))
+            if listener is not None and listener.held:
+                self.callLater(0.01, up)
+                return
             server = listener.factory.buildProtocol(there) if listener is not None else None
             if server is None:
                 factory.clientConnectionFailed(connector, Failure(ConnectionRefusedError()))
