Make a wait in memory last its whole time; green again

Cause, by a print of the peers: c5 was refused, for run_until in rehearsal/memory.py stopped at the last call before the end of a wait, so that 'wait 1.1' after quiet lasted less. Every scenario's waits were affected; all pass with the whole time too.

--- a/gaugesail/rehearsal/memory.py
+++ b/gaugesail/rehearsal/memory.py
@@ -217,10 +217,9 @@
         end = self.seconds() + most
         while not done():
             calls: Any = self.getDelayedCalls()
-            if not calls:
-                return False
-            at = min(call.getTime() for call in calls)
+            at = min((call.getTime() for call in calls), default=end + 1)
             if at > end:
+                self.advance(end - self.seconds())  # a wait lasts its whole time, whatever happens in it
                 return False
             self.advance(max(0.0, at - self.seconds()))
         return True
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,6 +6,7 @@
 
 from gaugesail.rehearsal.peers import ScenarioError
 from gaugesail.rehearsal.scenario import ScenarioFailed, split
+from gaugesail.rehearsal.worlds import MemoryWorld
 
 from .rehearse import FOLDER, play, scenarios
 
@@ -42,3 +43,11 @@
 def test_a_scenario_that_cannot_be_read_names_its_line(text: str, why: str) -> None:
     with pytest.raises(ScenarioError, match=why):
         split(text)
+
+
+def test_a_wait_in_memory_lasts_as_long_as_it_says() -> None:
+    world = MemoryWorld()
+    before = world.reactor.seconds()
+    world.reactor.callLater(0.2, lambda: None)
+    world.pass_time(1.0)
+    assert abs(world.reactor.seconds() - before - 1.0) < 1e-6
