--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
-PYTHON = .venv/bin/python
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
 TOOLS = ruff==0.14.6 mypy==1.18.2 pytest==8.4.2 hypothesis==6.148.1
 
 .PHONY: build test lint run clean
 
-build: .venv/built
+build: $(VENV)/built
 
-.venv/built: requirements.txt
-	test -d .venv || python3 -m venv .venv
+$(VENV)/built: requirements.txt Makefile
+	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip -q install --disable-pip-version-check -r requirements.txt $(TOOLS)
 	touch $@
 
@@ -14,8 +15,8 @@
 	$(PYTHON) -m pytest -q
 
 lint: build
-	.venv/bin/ruff check marllift gaugesail tests
-	.venv/bin/mypy
+	$(VENV)/bin/ruff check marllift gaugesail tests
+	$(VENV)/bin/mypy
 
 run: build
 	exec $(PYTHON) -m gaugesail
