--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -21,6 +21,7 @@
 from .http.discovery import DiscoveryClient
 from .http.front import ClientFront
 from .logs import LimitedLogger
+from .net import bound_accepts
 
 ACCEPT_US = 450_000  # after SIGTERM: new connections come for up to 0.4 s
 SERVE_US = 700_000  # after SIGTERM: until then, connections in use are kept
@@ -57,6 +58,7 @@
         self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         self.address = (host, self._port.getHost().port)
         self.front.port = self._port
+        bound_accepts(self._port, lambda: self.front.room)
         self.front.listening = True
         self.engine.start(self.known())
         self.clock.call_later(SWEEP_US, self._sweep)
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -14,6 +14,9 @@
 
 from .http.discovery import BadList, split_address
 
+# Standard streams, the reactor's own, the listener, discovery, and what is closing or still connecting.
+RESERVE = 24
+
 
 class ConfigError(ValueError):
     """The configuration cannot be used; the text names what is wrong."""
@@ -26,22 +29,23 @@
     memory_mb: int = 192
     sockets: int = 1024
 
+    @property
+    def _usable(self) -> int:
+        return max(4, self.sockets - RESERVE)
+
     @property
     def client_connections(self) -> int:
-        return max(1, self.sockets * 75 // 100)
+        return self._usable * 75 // 100
 
     @property
     def client_overflow(self) -> int:
         """Beyond those: clients that are only told to come back."""
-        return max(1, self.sockets * 5 // 100)
+        return max(1, self._usable * 5 // 100)
 
     @property
     def node_connections(self) -> int:
-        """The rest, but for a twentieth for discovery, the listener, logs and what is still closing.
-
-        A node has at most the window's ceiling (4) of attempts out, so even 14 nodes use a third of 153.
-        """
-        return max(1, self.sockets * 15 // 100)
+        """The rest.  A node has at most the window's ceiling (4) of attempts out, so 14 nodes use 56."""
+        return max(1, self._usable * 20 // 100)
 
 
 @dataclass(slots=True, frozen=True)
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -327,6 +327,10 @@
     def buildProtocol(self, addr: Any) -> ClientConnection:
         return ClientConnection(self)
 
+    @property
+    def room(self) -> int:
+        return self._most - len(self._open)
+
     @property
     def over(self) -> bool:
         return len(self._open) > self._max
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -550,6 +550,10 @@
     def connections(self) -> int:
         return len(self._open)
 
+    @property
+    def room(self) -> int:
+        return self._max + 8 - len(self._open)
+
     def next_name(self) -> str:
         self._names += 1
         return str(self._names)
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -28,6 +28,22 @@
         return self._build()
 
 
+def bound_accepts(port: Any, room: Callable[[], int]) -> None:
+    """Let a listening port accept no more at once than there is room for.
+
+    Twisted accepts up to 100 in a burst, whatever its factory does meanwhile; past the limit on
+    descriptors it closes what it accepts, and a request that is already on its way is lost.
+    """
+    if hasattr(port, "numberAccepts"):
+        accept = port.doRead
+
+        def accept_few() -> None:
+            port.numberAccepts = max(1, room())
+            accept()
+
+        port.doRead = accept_few
+
+
 def dial(
     reactor: Any, address: tuple[str, int], timeout_s: float, build: Callable[[], Connection]
 ) -> Deferred[Any]:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,6 +15,7 @@
 from gaugesail.buffers import Body, BufferPool, PoolEmpty
 from gaugesail.http.discovery import BadList, read_list, split_address
 from gaugesail.http.parser import BadMessage, Data, End, Head, Parser
+from gaugesail.net import bound_accepts
 from gaugesail.rehearsal import defaults
 
 STREAM = (
@@ -106,6 +107,22 @@
     assert pool.out == 2
 
 
+def test_a_burst_is_accepted_only_as_far_as_there_is_room() -> None:
+    class Port:
+        numberAccepts = 100  # noqa: N815
+
+        def doRead(self) -> None:
+            seen.append(self.numberAccepts)
+
+    seen: list[int] = []
+    port, room = Port(), [7]
+    bound_accepts(port, lambda: room[0])
+    port.doRead()
+    room[0] = -2
+    port.doRead()
+    assert seen == [7, 1]
+
+
 def test_the_list_keeps_zero_and_turns_milliseconds_into_the_clocks_microseconds() -> None:
     row = {"id": "n", "host_port": "10.0.0.1:9", "cell": 3, "phase": "Ready", "up_since_ms": 0}
     gone = {"id": "g", "cell": 1, "phase": "Gone", "up_since_ms": 1_700_000_000_123}
@@ -135,7 +152,10 @@
     path.write_text(json.dumps(data))
     read = config.load({"BALANCER_CONFIG": str(path)})
     assert read.seed == 0x8C1F30D27A5BE964 and read.settings.classes[1].writes
-    assert read.limits.client_connections + read.limits.node_connections <= 90
+    for sockets in (64, 128, 1024):
+        limits = config.Limits(192, sockets)
+        parts = limits.client_connections + limits.client_overflow + limits.node_connections
+        assert parts + config.RESERVE <= sockets
     for change, words in (
         ({"listen": "x"}, "'x'"),
         ({"settings": 3}, "settings"),
