Test the guards on raising fronts and empty buffer pools; give buffers back on any fault

Seen by reading: front.py, _whole gave a body's buffers back for a malformed request only; a fault of ours would have kept them. Added tests for front_raised on both wires and for a pool without buffers.

--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -200,8 +200,8 @@
             return
         try:
             order = self._front.reader.read(head, body)
-        except BadMessage:
-            body.release()
+        except Exception:
+            body.release()  # whatever is wrong, the buffers come back
             raise
         if self.surplus and self._front.over:
             body.release()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from gaugesail.http.front import OrderReader
+from gaugesail.iscsi.target import TargetFront
 from gaugesail.rehearsal.peers import ScenarioError
 from gaugesail.rehearsal.scenario import ScenarioFailed, split
 from gaugesail.rehearsal.worlds import MemoryWorld
@@ -51,3 +53,31 @@
     world.reactor.callLater(0.2, lambda: None)
     world.pass_time(1.0)
     assert abs(world.reactor.seconds() - before - 1.0) < 1e-6
+
+
+def raise_told(*_: object) -> None:
+    raise RuntimeError("told to")
+
+
+def test_a_fault_in_the_http_front_is_answered_and_costs_no_buffer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(OrderReader, "read", raise_told)
+    head = play("client c1\nsend c1 request a body=x\nexpect c1 500\nexpect c1 closed").head
+    assert head.engine.counts["front_raised"] == 1 and head.buffers.out == 0
+
+
+def test_a_fault_in_the_target_front_ends_the_one_command(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(TargetFront, "next_name", raise_told)
+    text = "daemon iscsi\nnode n1\ninitiator i1\nsend i1 login\nexpect i1 login 0x0000\n"
+    head = play(text + "send i1 read tag=1\nexpect i1 check 1 04/44/00\nsend i1 nop x\nexpect i1 nop").head
+    assert head.engine.counts["front_raised"] == 1 and head.buffers.out == 0
+
+
+def test_without_buffers_a_request_is_refused_and_the_head_serves_on() -> None:
+    text = "daemon http limits.memory_mb=1\nbrick b1\nclient c1\nclient c2\n"
+    text += "".join(f"client x{n}\n" for n in range(5))
+    head = "PUT /api HTTP/1.1\\r\\nContent-Length: 65536\\r\\n\\r\\n"
+    text += "".join(f'send x{n} raw "{head}"\n' for n in range(5))
+    text += "wait 0.1\n" + "".join(f"send x{n} raw x 65535\n" for n in range(5))
+    text += "expect x4 503 *memory*\nexpect x4 closed\n" + "close x0\nwait 0.1\n"
+    text += "send c1 request a\nexpect b1 request a\nsend b1 answer a 200 hello\nexpect c1 200 hello"
+    assert play(text).head.engine.counts["no_buffers"] == 1
