Read the configuration again on SIGHUP and move the discovery watch at once

Cause: run() in app.py installed SIGHUP for an operator's file only; by default the signal ends the process.

Now both signals are installed before the configuration is read, in place of Twisted's own; the file is read again, a bad one is logged and changes nothing; discovery is asked at its new address at once, from revision 0, and the end of what was open at the old one is neither told to the module as FAILED nor waited for. Entries that wait for a restart are logged. The watch that the module asks for after a back-off does not replace one that a move has already started.

Ruled out: that the new address is dialled too early.

Tests seen to fail before: three scenarios in memory and the process on loopback (exit -1 on SIGHUP).

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -5,6 +5,8 @@
 import gc
 import signal
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import fields
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -67,6 +69,23 @@
     def known(self) -> NodeList:
         raise NotImplementedError
 
+    def hang_up(self, load: Callable[[], Any]) -> None:
+        """SIGHUP: read the configuration again; whatever is wrong with it, the one in force stays."""
+        try:
+            self.reload(load())
+        except ValueError as error:
+            self._log.error("bad_configuration", error=str(error))
+
+    def reload(self, config: Any) -> None:
+        """Take what may change while the head runs from its configuration, read again."""
+        raise NotImplementedError
+
+    def _kept(self, old: Any, new: Any, live: set[str]) -> None:
+        """Log which entries of a configuration differ and wait for a restart."""
+        names = [item.name for item in fields(old) if getattr(old, item.name) != getattr(new, item.name)]
+        if waiting := sorted(set(names) - live):
+            self._log.warning("reload_needs_restart", entries=",".join(waiting))
+
     def stop(self) -> Deferred[None]:
         """Finish in order: accept a while, serve a while, close what is idle, finish what was taken."""
         if not self._stopping:
@@ -117,7 +136,7 @@
         limits = config.limits
         super().__init__(reactor, clock or ReactorClock(reactor), log, config.listen, limits.memory_mb)
         log = self._log
-        self._known = config.known
+        self._config = config
         self.transport = BrickPool(
             reactor,
             self.clock,
@@ -150,9 +169,15 @@
         )
 
     def known(self) -> NodeList:
-        news: NodeList = self.discovery.know(self._known)
+        news: NodeList = self.discovery.know(self._config.known)
         return news
 
+    def reload(self, config: configuration.Config) -> None:
+        """Discovery may move while the head runs; ``known`` and the seed are for a start."""
+        self._kept(self._config, config, {"discovery", "known", "seed"})
+        self.discovery.move(config.discovery)
+        self._log.info("reloaded", discovery=self.discovery.host)
+
 
 def _twisted_event(log: Logger, event: Any) -> None:
     failure = event.get("log_failure")
@@ -162,15 +187,23 @@
 
 def run(reactor: Any, log: Logger, arguments: list[str]) -> int:
     """Run a head until SIGTERM: by the platform's environment, or by an operator's file.  The exit code."""
+    # Ours before anything can send one, in place of Twisted's: by default SIGHUP ends the process, and
+    # Twisted's SIGTERM stops at once.  What comes before the reactor runs is carried out when it does.
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: head.hang_up(load)))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(lambda: head.stop()))
+    load: Callable[[], Any] = configuration.load
+    head: Service
     try:
         if arguments:
             from .iscsi.app import IscsiHead
             from .iscsi.operator import load_operator
 
             path = arguments[0]
-            head: Service = IscsiHead(reactor, load_operator(path), log)
+            load = lambda: load_operator(path)  # noqa: E731
+            head = IscsiHead(reactor, load(), log)
         else:
-            head = Head(reactor, configuration.load(), log)
+            head = Head(reactor, load(), log)
     except ValueError as error:
         log.error("bad_configuration", error=str(error))
         return 2
@@ -180,10 +213,6 @@
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
 
     def up() -> None:
-        # Twisted's own handler would stop at once; ours finishes what was taken.
-        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(head.stop))
-        if arguments:
-            signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
         try:
             head.start()
             gc.collect()
@@ -193,13 +222,7 @@
             failed.append(1)
             reactor.stop()
 
-    def reload() -> None:
-        try:
-            head.reload(load_operator(path))  # type: ignore[attr-defined]
-        except ValueError as error:  # the old file stays in force
-            log.error("bad_configuration", error=str(error))
-
     head.stopped.addCallback(lambda _: reactor.callLater(0, reactor.stop))
     reactor.callWhenRunning(up)
-    reactor.run()
+    reactor.run(installSignalHandlers=False)
     return failed[0] if failed else 0
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -157,6 +157,7 @@
         self._calls: set[_Call] = set()
         self._dials: set[Deferred[Any]] = set()
         self._watching: _Call | None = None
+        self._wanted = False  # the module wants a watch, though it may be between two
         self._check: Call | None = None
         self._closed = False
 
@@ -171,15 +172,37 @@
         return NodeList(ListKind.CACHED, tuple(nodes))
 
     def watch(self, on: bool) -> None:
-        old, self._watching = self._watching, None
-        if old is not None:
-            old.follow = False
-            old.ended = True
-            self._calls.discard(old)
-            if old.transport is not None:
-                old.link.abortConnection()
-        if on:
+        self._wanted = on
+        if on and self._watching is None:  # a move may have been first: a second watch would be one too many
             self._watching = self._call(f"{PATH}?follow=1&since={self._version}", True)
+        elif not on and self._watching is not None:
+            self._drop(self._watching)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is at another address from now on: ask there at once, not when the old one has closed.
+
+        The end of what was open at the old address is no failure, so that the module neither hears of one nor
+        waits before it asks again; and what is on its way from there no longer counts.
+        """
+        if address == self._address or self._closed:
+            return
+        self._address, self.host = address, f"{address[0]}:{address[1]}"
+        self._version = 0  # another service may count its revisions from anywhere: the whole list
+        fetches = sum(not call.follow for call in self._calls)
+        for call in list(self._calls):
+            self._drop(call)
+        for _ in range(fetches):
+            self.fetch()
+        self.watch(self._wanted)
+
+    def _drop(self, call: _Call) -> None:
+        """End a call that is no longer wanted, without a word to anyone."""
+        call.ended = True
+        self._calls.discard(call)
+        if call is self._watching:
+            self._watching = None
+        if call.transport is not None:
+            call.link.abortConnection()
 
     def fetch(self) -> None:
         self._call(PATH, False)
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -65,6 +65,7 @@
 
     def reload(self, operator: Operator) -> None:
         """Take the nodes of a changed file; all else in it waits for a restart."""
+        self._kept(self._operator, operator, {"nodes"})
         self._operator = operator
         self._log.info("reloaded", nodes=len(operator.nodes))
         self.engine.listed(self.known(ListKind.FULL))
--- a/gaugesail/rehearsal/peers.py
+++ b/gaugesail/rehearsal/peers.py
@@ -240,8 +240,9 @@
 class Directory(Listener):
     """Discovery: a watch gets what changes, and an empty line every 2 s."""
 
-    def __init__(self, reactor: Any, name: str) -> None:
+    def __init__(self, reactor: Any, name: str, moved: Callable[[str], None]) -> None:
         self.version = 1
+        self._moved = moved  # tells the daemon
         self.lines: dict[str, dict[str, Any]] = {}
         self.watches: list[HttpConnection] = []
         self.beating = True
@@ -282,6 +283,15 @@
     def _chunk(self, connection: HttpConnection, text: str) -> None:
         connection.link.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text.encode()))
 
+    def _move(self, version: int) -> None:
+        """Another service takes over at its own address; the old one closes what is open 1.5 s later."""
+        self.port.stopListening()
+        for connection in list(self.open):
+            self._reactor.callLater(1.5, lambda link: link.abortConnection(), connection.link)
+        self.version, self.address = version, ""
+        self.listen()
+        self._moved(self.address)
+
     def _beat(self) -> None:
         self._reactor.callLater(2.0, self._beat)
         if self.beating:
@@ -289,8 +299,10 @@
                 self._chunk(watch, "")
 
     def send(self, words: Words) -> None:
-        """BRICK PHASE [up=MS]: a change; silence: the machine vanishes; cut: all watches end"""
-        if words[0] == "silence":
+        """BRICK PHASE [up=MS]: a change; silence: it vanishes; cut: all watches end; move [revision=N]"""
+        if words[0] == "move":
+            self._move(int(options(words).get("revision", self.version)))
+        elif words[0] == "silence":
             self.beating = False
         elif words[0] == "cut":
             for connection in list(self.open):
--- a/gaugesail/rehearsal/scenario.py
+++ b/gaugesail/rehearsal/scenario.py
@@ -19,7 +19,8 @@
     close WHO [WORDS...]                 a client leaves, a node dies, the daemon gets SIGTERM
     wait SECONDS
 
-``list`` is discovery and ``daemon`` the daemon itself, whose end is seen as ``exit CODE``.
+``list`` is discovery and ``daemon`` the daemon itself, whose end is seen as ``exit CODE``;
+``send daemon reload`` replaces its file.
 """
 
 from __future__ import annotations
@@ -100,6 +101,7 @@
     reactor: Any
 
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]: ...
+    def change(self, config: dict[str, Any]) -> None: ...
     def stop(self) -> None: ...
     def until(self, done: Callable[[], bool], seconds: float) -> bool: ...
     def settle(self) -> None: ...
@@ -112,6 +114,13 @@
     def __init__(self, world: World) -> None:
         super().__init__("daemon")
         self._world = world
+        self.config: dict[str, Any] = {}
+
+    def send_reload(self, words: Words) -> None:
+        """reload [path=value ...]: its file is replaced and SIGHUP sent; what was changed before stays so"""
+        for path, value in options(words).items():
+            defaults.change(self.config, path, value)
+        self._world.change(self.config)
 
     def close(self, words: Words) -> None:
         self._world.stop()
@@ -165,7 +174,9 @@
             config = iscsi_peers.operator_file(nodes, self._changes)
             directory: Peer = iscsi_peers.OperatorFile(self._world, config)
         else:
-            directory = Directory(self._world.reactor, "list")
+            directory = Directory(
+                self._world.reactor, "list", lambda at: self._daemon.send_reload([f"discovery={at}"])
+            )
             for brick in self.peers.values():
                 if isinstance(brick, HttpBrick):
                     directory.add(brick)
@@ -177,6 +188,7 @@
             for path, value in self._changes.items():
                 defaults.change(config, path, value)
         self.peers["list"] = directory
+        self._daemon.config = config
         self._address = self._world.start(self._wire, config, self._daemon)
 
     def _act(self, step: Step) -> None:
--- a/gaugesail/rehearsal/worlds.py
+++ b/gaugesail/rehearsal/worlds.py
@@ -50,8 +50,9 @@
         return self.head.address  # type: ignore[no-any-return]
 
     def change(self, config: dict[str, Any]) -> None:
-        """The operator's file has been edited and the daemon told so."""
-        self.head.reload(read_operator(config))
+        """The file that the daemon was started with is another, and SIGHUP tells it so."""
+        iscsi = isinstance(self.head, IscsiHead)
+        self.head.hang_up(lambda: read_operator(config) if iscsi else configuration.read(config, {}))
 
     def stop(self) -> None:
         self.head.stop()
@@ -80,11 +81,12 @@
         self._file = Path(self._folder.name) / "config"
         self._process: subprocess.Popen[str] | None = None
         self._daemon: Peer | None = None
+        self._wire = "http"
         self._address: list[tuple[str, int]] = []
 
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]:
-        self._daemon = daemon
-        self._write(wire, config)
+        self._daemon, self._wire = daemon, wire
+        self._write(config)
         command = [sys.executable, "-m", "gaugesail"] + ([str(self._file)] if wire == "iscsi" else [])
         self._process = subprocess.Popen(
             command, env=os.environ | {"BALANCER_CONFIG": str(self._file)}, stderr=subprocess.PIPE, text=True
@@ -94,8 +96,11 @@
             raise ScenarioError("the daemon did not start")
         return self._address[0]
 
-    def _write(self, wire: str, config: dict[str, Any]) -> None:
-        self._file.write_text(write_toml(config) if wire == "iscsi" else json.dumps(config))
+    def _write(self, config: dict[str, Any]) -> None:
+        """In one go, as an operator's tool would: the daemon must never read half a file."""
+        fresh = self._file.with_suffix(".new")
+        fresh.write_text(write_toml(config) if self._wire == "iscsi" else json.dumps(config))
+        fresh.replace(self._file)
 
     def _read_log(self) -> None:
         assert self._process is not None and self._process.stderr is not None
@@ -107,7 +112,7 @@
                 sys.stderr.write(line)
 
     def change(self, config: dict[str, Any]) -> None:
-        self._write("iscsi", config)
+        self._write(config)
         assert self._process is not None
         self._process.send_signal(signal.SIGHUP)
 
