Refuse at once what cannot be sent before its aim; open warm nodes wide; give up hung attempts

Trace: 23 waiting a shard, most of them refused at their aim after holding a connection all that time; of the refusals inside the reserve on a warm node 233 of 797 fell in the first 250 ms of a node that had just taken over, with a window of 1 and the latency of the target.

Now (marllift/decide.py): _hopeless refuses by Little's law what has more of better worth before it than its window lets through by its aim; a node that is not cold starts at a window of four, as DESIGN says, with the average latency of those heard of. Also, for bricks that hang: a patience of four targets in _send (it was none), and one trial beside those that are stuck in _room (a stuck attempt used to take the only slot of its own trial).

Memory: taken and extras grew by an entry a request where no budget is set (nothing pruned them), unserved where no care for cold nodes is, and shards by any number a client wrote.

--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -18,7 +18,7 @@
 
 PERIOD_US = 250_000  # of the control loop; a second in the paper, too slow for surges of a few seconds
 ALPHA, GAIN = 0.002, 0.8  # smoothing of latency and r of the window rule, as in the paper
-START_WINDOW, CEILING = 1.0, 4.0  # requests out per host and node
+START_WINDOW, COLD_WINDOW, CEILING = 4.0, 1.0, 4.0  # requests out per host and node
 TIERS = 3  # of worth, with a window each: inside the reserve, inside the share, beyond
 BASE_DRIFT = 1.15  # a period: how fast the least latency seen is forgotten
 TARGET = 0.7  # of a class's aim: the latency the window is moved toward
@@ -26,7 +26,9 @@
 EARLIEST = 0.7  # of the forecast latency: what would miss its aim even so counts as late
 BACKOFF = 0.0625  # of the shortest target: the first pause after a failure, doubled up to 6 times
 FORGET_US = 10_000_000  # after so long without a request a volume's full stores are dropped
+HOPE = 1.0  # times what a window lets through by a job's aim: more ahead of it, and it is refused early
 STUCK = 2.0  # times its target after which an attempt counts as stuck
+PATIENCE = 4.0  # times its target after which an attempt of a class that is safe to repeat is given up
 WATCH_US = 1_000_000  # first wait before subscribing again, doubled up to 8 times
 BELL_PERIOD, BELL_TICK, BELL_WATCH = 1, 2, 3
 WANT, GIFT = struct.Struct("<iQ"), struct.Struct("<iQf")  # shard, start of its node, part given
@@ -95,6 +97,9 @@
             book = self.nodes.get(line.node)
             if book is None:
                 book = NodeBook(line.node, line.shard, line.zone, [START_WINDOW] * TIERS, list(self.target))
+                # Unheard, it counts as the average of those heard of.
+                if known := [node.latency for node in self.nodes.values() if node.latency != self.target]:
+                    book.latency = [sum(kind) / len(known) for kind in zip(*known, strict=True)]
                 self.nodes[line.node] = book
             if line.mode is not api.NodeMode.READY:
                 self._retire(book)
@@ -103,7 +108,8 @@
                 book.started = line.started_us
                 book.cold_since = line.started_us if self._coldness(line.started_us) < 1 else None
                 book.part = (line.started_us > self.born or not self.set.may_tell) / self.set.gateways
-                book.windows, book.misses = [START_WINDOW] * TIERS, 0
+                cold = book.cold_since is not None
+                book.windows, book.misses = [COLD_WINDOW if cold else START_WINDOW] * TIERS, 0
             book.ready = True
             shard = self.shards[line.shard]
             if shard.node is None or not shard.node.ready or book.started >= shard.node.started:
@@ -120,7 +126,12 @@
 
     def _request(self, event: api.Request) -> None:
         spec, now = self.classes[event.kind], self.now
-        self.taken.append(now)
+        if event.shard >= 0 and event.shard not in self.shards:
+            # No list has named it: it is the client's word alone, and no book is opened on that.
+            self.acts.append(api.Refuse(event.request, self.hold_off))
+            return
+        if self.set.budget_window_us:
+            self.taken.append(now)
         volume = self._volume(event)
         # A client's repeat has less time than its class, and part of its aim is gone.  Past its aim a request
         # earns next to nothing and delays the rest: there it ends.
@@ -218,7 +229,8 @@
             node.counts[job.kind] += 1
         if result is Result.SERVED:
             node.misses = 0
-            node.unserved.append((job.sent_at, -job.units))
+            if self.set.fall_us:
+                node.unserved.append((job.sent_at, -job.units))
             job.volume.reserve -= event.others_units
         elif result not in (Result.MOOT, Result.CANCELLED):
             node.misses += 1
@@ -256,10 +268,11 @@
         return low + (1 - low) * max(0, self.now - since) / warm
 
     def _room(self, node: NodeBook, tier: int) -> bool:
-        # A hang, slowness or errors: one at a time until an answer comes.  Hurts after a very heavy request.
-        stuck = any(self.now - job.sent_at > STUCK * self.target[job.kind] for job in node.out.values())
+        # A hang, slowness or errors: one at a time until an answer comes, and beside those that are stuck, as
+        # only another shows that the node is back.  Hurts after a very heavy request.
+        stuck = sum(self.now - job.sent_at > STUCK * self.target[job.kind] for job in node.out.values())
         most = 1 if stuck or node.misses else max(1, int(node.windows[tier]))
-        return len(node.out) < most and self.now >= max(node.next_at, node.rest[tier])
+        return len(node.out) - stuck < most and self.now >= max(node.next_at, node.rest[tier])
 
     def _borne(self, node: NodeBook) -> tuple[float, float]:
         """Rule 4: unserved units that a cold node bears from all hosts, and how many more from this one."""
@@ -350,9 +363,32 @@
                 return
             self._send(chosen, shard, node)
 
+    def _hopeless(self, shard: Shard) -> list[Job]:
+        """What waits behind more than can be sent before its aim, by Little's law: it is refused at once.
+
+        It would be refused at its aim in any case, and until then it holds a connection of its client.
+        """
+        node = shard.node
+        queue = sum(map(len, shard.waiting))
+        if node is None or queue <= CEILING:
+            return []
+        latency, ranked = sum(node.latency) / len(node.latency), list[tuple[float, int, int, int, Job]]()
+        for job in (job for waiting in shard.waiting for job in waiting):
+            self._refill(job.volume)
+            tier = self._tier(job)
+            ranked.append((self._worth(job, node, tier), -job.aim_at, -job.id, tier, job))
+        ranked.sort(reverse=True)
+        return [
+            job
+            for ahead, (_, _, _, tier, job) in enumerate(ranked)
+            if ahead > HOPE * node.windows[tier] * (1 + max(0, job.aim_at - self.now) / latency)
+        ]
+
     def _send(self, job: Job, shard: Shard, node: NodeBook) -> None:
         shard.waiting[job.kind].remove(job)
-        self.acts.append(api.Send(job.id, node.id))
+        # One that hangs gives its slot back; what must not run twice waits to the end: it could not go again.
+        patience = int(PATIENCE * self.target[job.kind]) if job.spec.effect is Effect.SAFE else 0
+        self.acts.append(api.Send(job.id, node.id, patience))
         volume = job.volume
         if job.attempts == 0:
             volume.limit -= job.units
@@ -360,7 +396,7 @@
                 volume.reserve -= job.units
             else:
                 volume.share -= job.units
-        else:
+        elif self.set.budget_window_us:
             self.extras.append(self.now)
         node.out[(job.id, job.attempts)] = job
         node.used[job.kind] += 1
@@ -388,6 +424,8 @@
                         shard.waiting[job.kind].remove(job)
                         job.shard = self._place_new(job.kind)
                         self._wait(job)
+                for job in self._hopeless(shard):
+                    self._end(job)
                 if any(shard.waiting):
                     self.dirty[number] = shard
         elif event.token == BELL_PERIOD:
