--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -27,13 +27,13 @@
 
 ACCEPT_US = 450_000  # after SIGTERM: new connections come for up to 0.4 s
 SERVE_US = 700_000  # after SIGTERM: until then, connections in use are kept
-SWEEP_US = 1_000_000
-REPORT_EVERY = 10  # sweeps
+SWEEP_US = 250_000
+REPORT_EVERY = 40  # sweeps
 BACKLOG = 512
 
 
 class Service:
-    """The life of a head on any wire: start, a sweep a second, an orderly stop."""
+    """The life of a head on any wire: start, a sweep four times a second, an orderly stop."""
 
     def __init__(
         self, reactor: Reactor, clock: Clock, log: Logger, listen: tuple[str, int], memory_mb: int
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -7,19 +7,21 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
 from marllift.interface import NodeId, Result
 
 from ..buffers import Body, BufferPool, PoolEmpty
-from ..core.ports import Attempt, AttemptSink, Clock, Logger, Reactor
+from ..core.ports import Attempt, AttemptSink, Call, Clock, Logger, Reactor
 from ..net import Connection, dial
 from .parser import BadMessage, Data, Head, Parser
 
 IDLE_SHARE = 0.6  # of the time after which the other side closes; a request written then would be reset
+REST_US = 5_000  # of a connection after an answer: what else comes then must not meet the next request
 MAX_DIALS = 8  # to one brick at once
+MAX_INTERIM = 8  # 1xx answers before the real one
+STALL_US = 500_000  # a brick writes a whole answer: one that has begun and is not whole by then never will be
 PROBE_US = 250_000
 
 
@@ -59,6 +61,7 @@
     busy: set[BrickConnection] = field(default_factory=set)
     waiting: deque[_Job] = field(default_factory=deque)
     dials: set[Deferred[Any]] = field(default_factory=set)
+    rest: Call | None = None  # until an idle connection has rested
     epoch: int = 0  # goes up when the process behind the address is another
 
     @property
@@ -76,14 +79,16 @@
         self._head: Head | None = None
         self._body: Body | None = None
         self._written = self.lost = False
-        self.idle_since = 0
+        self._interim = 0
+        self._began_us = 0  # when the first byte of the answer came
+        self.idle_since = self.rested_at = 0
 
     def connectionMade(self) -> None:
         self.link.setTcpNoDelay(True)
 
     def start(self, job: _Job, request: bytes) -> None:
         """Write one request.  The pull producer hears when the last byte has left our buffer."""
-        self._job, self._written = job, False
+        self._job, self._written, self._interim, self._began_us = job, False, 0, 0
         if job.attempt is not None:
             job.attempt.connection = self
         self.link.write(request)
@@ -107,13 +112,17 @@
         if self._job is None:
             self.abort()  # nothing was asked: these bytes belong to no request
             return
+        if not self._written:
+            # They answer something else, however good they look.  Our last byte now never leaves, so that the
+            # request has not run.
+            self._spoilt(Result.NO_CONNECTION)
+            return
+        self._began_us = self._began_us or self._pool.clock.now_us()
         self._parser.feed(data)
         try:
             self._read()
         except (BadMessage, PoolEmpty):
-            job, self._job = self._job, None
-            self.abort()
-            self._pool.finish(job, Result.ERROR)
+            self._spoilt(Result.ERROR)
 
     def _read(self) -> None:
         whole = True
@@ -122,6 +131,14 @@
             for part in self._parser.parts():
                 if isinstance(part, Head):
                     self._head = part
+                    if part.status < 200:
+                        self._interim += 1
+                    if self._interim > MAX_INTERIM or part.status == 101:
+                        raise BadMessage("interim answers without end, or another protocol")
+                    if part.until_close:
+                        # Nothing would tell a whole answer from one that broke off: only its status counts.
+                        self._spoilt(Result.ERROR if part.status == 200 else _result(part))
+                        return
                 elif isinstance(part, Data):
                     if self._body is None:
                         self._body = Body(self._pool.buffers)
@@ -140,20 +157,30 @@
         if body is not None:
             answer = body.read()
             body.release()
-        # An answer before the request's last byte, or with more behind it: never used again.
-        if head.keep_alive and self._written and self._parser.between and not self.lost:
+        # With more behind the answer than belongs to it, the connection is never used again.
+        if head.keep_alive and self._parser.between and not self.lost:
             self._pool.freed(self)
         else:
             self.abort()
         self._pool.finish(job, _result(head), answer)
 
+    def _spoilt(self, result: Result) -> None:
+        """What comes can't be the answer: the connection ends, and with it the attempt."""
+        job = self._job
+        self.abort()
+        if job is not None:
+            self._pool.finish(job, result)
+
+    def stalled(self, now: int) -> bool:
+        """An answer that has begun and does not become whole."""
+        return self._job is not None and 0 < self._began_us < now - STALL_US
+
+    def give_up(self) -> None:
+        self._spoilt(Result.ERROR)
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.lost = True
-        job = self._job
-        if job is not None and self._parser.end_of_input() and isinstance(reason.value, ConnectionDone):
-            self._whole()
-            job = None
-        self._job = None
+        job, self._job = self._job, None
         if self._body is not None:
             self._body.release()
             self._body = None
@@ -190,7 +217,7 @@
         connect_timeout_us: int,
         max_connections: int,
     ) -> None:
-        self._reactor, self._clock, self.buffers, self._log = reactor, clock, buffers, log
+        self._reactor, self.clock, self.buffers, self._log = reactor, clock, buffers, log
         self._idle_us = int(idle_us * IDLE_SHARE)
         self._connect_s = connect_timeout_us / 1e6
         self._max = max_connections
@@ -204,14 +231,21 @@
 
     # ---- the list ----
 
-    def listed(self, lines: dict[NodeId, Line], full: bool) -> None:
-        """The latest list, or changes.  A brick that drains, goes or restarts gets nothing that waits."""
+    def listed(self, lines: dict[NodeId, Line | None], full: bool) -> None:
+        """The latest list, or changes.  A brick that drains, goes or restarts gets nothing that waits.
+
+        What is gone has no line: ids are never used again, and on a long day they would add up.
+        """
         if full:
             for node in [node for node in self._lines if node not in lines]:
                 self._stop(node)
                 del self._lines[node]
         for node, line in lines.items():
             old = self._lines.get(node)
+            if line is None:
+                self._stop(node)
+                self._lines.pop(node, None)
+                continue
             self._lines[node] = line
             changed = old is not None and (
                 (old.host, old.port, old.started) != (line.host, line.port, line.started)
@@ -236,7 +270,7 @@
     # ---- attempts ----
 
     def send(self, attempt: Attempt, sink: AttemptSink) -> None:
-        now = self._clock.now_us()
+        now = self.clock.now_us()
         job = _Job(sink, attempt.node, now, attempt.deadline_us, attempt)
         line = self._lines.get(attempt.node)
         if line is None or not line.ready:
@@ -257,12 +291,12 @@
                 brick.waiting = deque(job for job in brick.waiting if job.attempt is not attempt)
 
     def probe(self, node: NodeId, sink: AttemptSink) -> None:
-        now = self._clock.now_us()
+        now = self.clock.now_us()
         job = _Job(sink, node, now, now + PROBE_US)
         if (line := self._lines.get(node)) is None or not line.ready:
             self.finish(job, Result.NO_CONNECTION)
             return
-        self._clock.call_later(PROBE_US, lambda: self.finish(job, Result.TIMEOUT))
+        self.clock.call_later(PROBE_US, lambda: self.finish(job, Result.TIMEOUT))
         self._place(job)
 
     def close_idle(self, node: NodeId) -> None:
@@ -274,29 +308,56 @@
         brick = self._bricks.get(job.node)
         if brick is None:
             brick = self._bricks[job.node] = _Brick(job.node)
-        now = self._clock.now_us()
-        while brick.idle:
-            connection = brick.idle.pop()
-            if connection.epoch == brick.epoch and now - connection.idle_since < self._idle_us:
-                self._start(connection, brick, job)
-                return
-            connection.abort()
         brick.waiting.append(job)
-        self._dial(brick)
+        self._pump(brick)
+
+    def _pump(self, brick: _Brick) -> None:
+        """Start what waits on connections that have rested; dial where there are too few."""
+        now = self.clock.now_us()
+        while brick.waiting:
+            job = brick.waiting[0]
+            if job.over or (job.attempt is not None and job.attempt.over):
+                brick.waiting.popleft()
+                self.finish(job, Result.MOOT)
+                continue
+            connection = self._rested(brick, now)
+            if connection is None:
+                break
+            brick.waiting.popleft()
+            self._start(connection, brick, job)
+        if brick.waiting:
+            if brick.idle and brick.rest is None:
+                wait = max(0, min(connection.rested_at for connection in brick.idle) - now)
+                brick.rest = self.clock.call_later(wait, lambda: self._has_rested(brick))
+            self._dial(brick)
+
+    def _rested(self, brick: _Brick, now: int) -> BrickConnection | None:
+        """The connection used last of those that are good and have rested."""
+        for connection in reversed(list(brick.idle)):
+            if connection.epoch != brick.epoch or now - connection.idle_since >= self._idle_us:
+                connection.abort()
+            elif connection.rested_at <= now:
+                brick.idle.remove(connection)
+                return connection
+        return None
+
+    def _has_rested(self, brick: _Brick) -> None:
+        brick.rest = None
+        self._pump(brick)
 
     def _start(self, connection: BrickConnection, brick: _Brick, job: _Job) -> None:
-        """The last look before the first byte: the request may be over, the brick may drain by now."""
+        """The last look before the first byte: the brick may drain by now."""
         attempt, line = job.attempt, self._lines.get(job.node)
-        if job.over or (attempt is not None and attempt.over) or line is None or not line.ready:
-            self.freed(connection)
-            self.finish(job, Result.MOOT if line is not None and line.ready else Result.NO_CONNECTION)
+        if line is None or not line.ready:
+            connection.abort()
+            self.finish(job, Result.NO_CONNECTION)
             return
         brick.busy.add(connection)
         if attempt is None:
             request = f"GET /ping HTTP/1.1\r\nHost: {line.host}:{line.port}\r\n\r\n".encode()
         else:
             exchange = attempt.payload
-            left = max(1, (job.deadline_us - self._clock.now_us()) // 1000)
+            left = max(1, (job.deadline_us - self.clock.now_us()) // 1000)
             body = exchange.body.read()
             head = (
                 f"{exchange.method} {exchange.target} HTTP/1.1\r\nHost: {line.host}:{line.port}\r\n"
@@ -315,16 +376,21 @@
             job.attempt.connection = None
             job.sink.attempt_ended(job.attempt, result, answer)
         else:
-            job.sink.probe_ended(job.node, result, self._clock.now_us() - job.since_us)
+            job.sink.probe_ended(job.node, result, self.clock.now_us() - job.since_us)
 
     # ---- connections ----
 
     def _dial(self, brick: _Brick) -> None:
         line = self._lines.get(brick.node)
-        if line is None or self._closing or len(brick.dials) >= min(MAX_DIALS, len(brick.waiting)):
+        # One more than wait: where each is used again at once, the next would wait for its rest every time.
+        coming = len(brick.dials) + len(brick.idle)
+        if line is None or self._closing or len(brick.dials) >= MAX_DIALS or coming > len(brick.waiting):
+            return
+        if len(brick.dials) >= len(brick.waiting):
             return
         if self.connections >= self._max and not self._make_room():
-            self.finish(brick.waiting.popleft(), Result.NO_CONNECTION)
+            if not brick.connections:  # none that it could wait for
+                self.finish(brick.waiting.popleft(), Result.NO_CONNECTION)
             return
         epoch = brick.epoch
         made = dial(
@@ -344,7 +410,7 @@
         elif connection.epoch != brick.epoch or self._closing:
             connection.abort()
         else:
-            self.freed(connection)
+            self.freed(connection, fresh=True)
 
     def _dial_failed(self, failure: Failure, brick: _Brick, made: Deferred[Any]) -> None:
         brick.dials.discard(made)
@@ -354,7 +420,7 @@
         """A dial came to nothing: the one that has waited longest has its outcome."""
         while brick.waiting and brick.waiting[0].over:
             brick.waiting.popleft()
-        if len(brick.waiting) > len(brick.dials):
+        if len(brick.waiting) > len(brick.dials) + len(brick.idle):
             self.finish(brick.waiting.popleft(), result)
         self._dial(brick)
 
@@ -369,31 +435,32 @@
         min(idle, key=lambda c: c.idle_since).abort()
         return True
 
-    def freed(self, connection: BrickConnection) -> None:
-        """A connection is free: the next that waits takes it, or it rests."""
+    def freed(self, connection: BrickConnection, fresh: bool = False) -> None:
+        """A connection is free.  It rests after an answer, and then the next that waits takes it."""
         brick = connection._brick
         brick.busy.discard(connection)
         if connection.epoch != brick.epoch or self._closing or connection.lost:
             connection.abort()
             return
-        while brick.waiting:
-            job = brick.waiting.popleft()
-            if not job.over:
-                self._start(connection, brick, job)
-                return
-        connection.idle_since = self._clock.now_us()
+        connection.idle_since = now = self.clock.now_us()
+        connection.rested_at = now if fresh else now + REST_US
         brick.idle.append(connection)
+        self._pump(brick)
 
     def ended(self, connection: BrickConnection) -> None:
         brick = connection._brick
         brick.busy.discard(connection)
         if connection in brick.idle:
             brick.idle.remove(connection)
+        if brick.waiting and brick.rest is None:  # what waits may have waited for this one
+            brick.rest = self.clock.call_later(0, lambda: self._has_rested(brick))
 
     def sweep(self) -> None:
-        """Retire what has been idle for long, and forget bricks that are gone."""
-        now = self._clock.now_us()
+        """Retire what has been idle for long, end answers that stall, and forget bricks that are gone."""
+        now = self.clock.now_us()
         for node, brick in list(self._bricks.items()):
+            for connection in [busy for busy in brick.busy if busy.stalled(now)]:
+                connection.give_up()
             for connection in list(brick.idle):
                 if now - connection.idle_since >= self._idle_us:
                     connection.abort()
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -41,15 +41,15 @@
 
 def read_list(
     data: Any, zones: list[str], kinds: list[str]
-) -> tuple[int, bool, list[Node], dict[bytes, Line]]:
-    """Version, whether whole, the lines for the module and those for the connections.
+) -> tuple[int, bool, list[Node], dict[bytes, Line | None]]:
+    """Version, whether whole, the lines for the module and those for the connections, none for what is gone.
 
     Start times are Unix milliseconds; the clock of the head counts Unix microseconds, so 0 stays 0.
     """
     try:
         version, full = int(data["revision"]), bool(data["complete"])
         nodes: list[Node] = []
-        lines: dict[bytes, Line] = {}
+        lines: dict[bytes, Line | None] = {}
         for item in data["members"]:
             node, mode = str(item["id"]).encode(), MODES[item["phase"]]
             started = int(item.get("up_since_ms", 0)) * 1000
@@ -67,7 +67,8 @@
                     started,
                 )
             )
-            lines[node] = Line(host, port, shard, mode is NodeMode.READY, started)
+            gone = mode is NodeMode.GONE
+            lines[node] = None if gone else Line(host, port, shard, mode is NodeMode.READY, started)
     except (KeyError, TypeError, ValueError) as error:
         raise BadList(f"{type(error).__name__}: {error}") from None
     return version, full, nodes, lines
@@ -146,7 +147,7 @@
         zones: list[str],
         kinds: list[str],
         log: Logger,
-        listed: Callable[[dict[bytes, Line], bool], None],
+        listed: Callable[[dict[bytes, Line | None], bool], None],
         tell: Callable[[NodeList], None],
     ) -> None:
         self._reactor, self._clock, self._log = reactor, clock, log
--- a/gaugesail/rehearsal/peers.py
+++ b/gaugesail/rehearsal/peers.py
@@ -189,12 +189,32 @@
             self._connection.link.abortConnection()
 
 
+GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+SPOILT = {
+    "noise": "\x00\xff\x16\x03\x01\r\n\r\n\x80" * 8,
+    "head": "HTTP/1.1 200 OK\r\n" + "X-Pad: pppppppppppp\r\n" * 1000,
+    "length": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole",
+    "negative": "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nwhole",
+    "chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff0\r\nwhole",
+    "huge": "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + "w" * 4096,
+    "short": "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nwhole",
+    "lengthless": "HTTP/1.1 200 OK\r\n\r\nwhole",
+    "switch": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + GOOD,
+    "hints": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 40 + GOOD,
+    # Good ones, with more than belongs to them.
+    "copy": GOOD + GOOD,
+    "hint": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + GOOD,
+    "load": GOOD.replace("\r\n", '\r\nServer-Load: {"\r\nX-Volume-Use: =,=\r\n', 1),
+}
+
+
 class HttpBrick(Listener):
     """A brick.  It answers what the scenario says, when it says it; until then a request is held."""
 
     def __init__(self, reactor: Any, name: str, shard: int) -> None:
         self.shard = shard
         self.held: dict[str, HttpConnection] = {}
+        self.last: dict[str, HttpConnection] = {}  # where each request came by
         super().__init__(reactor, name)
 
     def accept(self) -> HttpConnection:
@@ -211,7 +231,7 @@
 
     def message(self, connection: HttpConnection, head: Head, body: bytes) -> None:
         name = head.headers.get("request-id", "-")
-        self.held[name] = connection
+        self.held[name] = self.last[name] = connection
         self.saw("request", name, head.method, head.target, body.decode("latin-1"))
 
     def send_answer(self, words: Words) -> None:
@@ -229,6 +249,14 @@
         """raw ID TEXT: on that request's connection, which is held on"""
         self.held[words[0]].link.write(words[1].encode().decode("unicode_escape").encode("latin-1"))
 
+    def send_spoil(self, words: Words) -> None:
+        """spoil ID KIND: a spoilt answer, or a good one with more than belongs to it; see SPOILT"""
+        self.held.pop(words[0]).link.write(SPOILT[words[1]].encode("latin-1"))
+
+    def send_more(self, words: Words) -> None:
+        """more ID TEXT: on the connection that the request came by, after its answer"""
+        self.last[words[0]].link.write(words[1].encode().decode("unicode_escape").encode("latin-1"))
+
     def close(self, words: Words) -> None:
         """close NAME: the brick dies; close NAME ID: the one request's connection breaks"""
         if words:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -5,18 +5,22 @@
 import json
 from itertools import pairwise
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.testing import StringTransport
 
 from gaugesail import config
 from gaugesail.buffers import Body, BufferPool, PoolEmpty
+from gaugesail.http.bricks import BrickConnection
 from gaugesail.http.discovery import BadList, read_list, split_address
 from gaugesail.http.parser import BadMessage, Data, End, Head, Parser
 from gaugesail.net import bound_accepts
 from gaugesail.rehearsal import defaults
+from marllift.interface import Result
 
 STREAM = (
     b"\r\nPUT /api?q=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
@@ -97,6 +101,21 @@
     assert pool.out == 0
 
 
+def test_an_answer_that_comes_before_the_requests_last_byte_is_not_its_answer() -> None:
+    ends: list[Any] = []
+    clock = SimpleNamespace(now_us=lambda: 1)
+    pool: Any = SimpleNamespace(clock=clock, buffers=BufferPool(9), freed=ends.append, ended=lambda _: None)
+    pool.finish = lambda _, *end: ends.append(end)
+    for written, result in ((False, Result.NO_CONNECTION), (True, Result.SERVED)):
+        connection, link = BrickConnection(pool, cast(Any, None), 0), cast(Any, StringTransport)()
+        connection.transport = link
+        connection.start(cast(Any, SimpleNamespace(attempt=None)), b"GET / HTTP/1.1\r\n\r\n")
+        for _ in range(2 if written else 1):  # the first pull comes with registering
+            connection.resumeProducing()
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+        assert ends.pop()[0] is result and link.disconnected is not written
+
+
 def test_the_pool_is_bounded_and_its_buffers_come_back() -> None:
     pool = BufferPool(2, size=4)
     body = Body(pool)
@@ -130,7 +149,7 @@
         {"revision": 4, "complete": False, "members": [row, gone]}, [], []
     )
     assert (version, full, nodes[0].started_us, nodes[1].started_us) == (4, False, 0, 1_700_000_000_123_000)
-    assert lines[b"n"].ready and not lines[b"g"].ready
+    assert lines[b"n"] is not None and lines[b"n"].ready and lines[b"g"] is None
 
 
 @pytest.mark.parametrize("bad", [{}, {"revision": 1, "complete": True, "members": [{"id": "n"}]}, []])
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,7 +6,7 @@
 
 from gaugesail.http.front import OrderReader
 from gaugesail.iscsi.target import TargetFront
-from gaugesail.rehearsal.peers import ScenarioError
+from gaugesail.rehearsal.peers import SPOILT, ScenarioError
 from gaugesail.rehearsal.scenario import ScenarioFailed, split
 from gaugesail.rehearsal.worlds import MemoryWorld
 
@@ -55,6 +55,22 @@
     assert abs(world.reactor.seconds() - before - 1.0) < 1e-6
 
 
+ASKED = "brick b1\nclient c1\nsend c1 request a\nexpect b1 request a\n"
+
+
+@pytest.mark.parametrize("kind", sorted(SPOILT.keys() - {"copy", "hint", "load", "short"}))
+def test_a_spoilt_answer_is_a_failed_attempt_and_its_connection_is_not_used_again(kind: str) -> None:
+    again = "expect b1 request a within 0.1\nsend b1 answer a 200 mine\nexpect c1 200 mine\n"
+    head = play(f"{ASKED}send b1 spoil a {kind}\n{again}wait 0.1\nsend b1 more a x\nexpect c1 nothing").head
+    assert head.engine.counts["attempt_error"] == 1 and head.buffers.out == 0
+
+
+@pytest.mark.parametrize("kind", ["copy", "hint", "load"])
+def test_a_good_answer_is_served_whatever_else_comes_with_it(kind: str) -> None:
+    more = "send c1 request b\nexpect b1 request b\nsend b1 answer b 200 mine\nexpect c1 200 mine"
+    play(f"{ASKED}send b1 spoil a {kind}\nexpect c1 200 whole\nwait 0.1\n{more}")
+
+
 def raise_told(*_: object) -> None:
     raise RuntimeError("told to")
 
@@ -81,3 +97,16 @@
     text += "expect x4 503 *memory*\nexpect x4 closed\n" + "close x0\nwait 0.1\n"
     text += "send c1 request a\nexpect b1 request a\nsend b1 answer a 200 hello\nexpect c1 200 hello"
     assert play(text).head.engine.counts["no_buffers"] == 1
+
+
+def test_replaced_bricks_leave_nothing_behind() -> None:
+    head = play(f"{ASKED}send b1 answer a 200 x\nexpect c1 200").head
+    before = len(head.transport._lines), len(head.transport._bricks)
+    for n in range(1000):
+        name = f"s-{n}"
+        line = {"id": name, "host_port": "127.0.0.1:1", "cell": 0, "phase": "Ready"}
+        head.discovery.heard({"revision": 9, "complete": False, "members": [line]})
+        head.transport._bricks[name.encode()] = type(head.transport._bricks[b"b1"])(name.encode())
+        head.discovery.heard({"revision": 9, "complete": False, "members": [line | {"phase": "Gone"}]})
+    head.transport.sweep()
+    assert (len(head.transport._lines), len(head.transport._bricks)) == before
