--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -22,6 +22,7 @@
 from .http.bricks import BrickPool
 from .http.discovery import DiscoveryClient
 from .http.front import ClientFront
+from .http.management import ACCEPTS, MOST_CALLS, ManagementFront
 from .logs import LimitedLogger
 from .net import accept_pending, bound_accepts
 
@@ -38,7 +39,13 @@
     """The life of a head on any wire: start, a sweep four times a second, an orderly stop."""
 
     def __init__(
-        self, reactor: Reactor, clock: Clock, log: Logger, listen: tuple[str, int], memory_mb: int
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        log: Logger,
+        listen: tuple[str, int],
+        management: tuple[str, int] | None,
+        memory_mb: int,
     ) -> None:
         self._reactor, self._listen = reactor, listen
         self.clock = clock
@@ -50,7 +57,8 @@
         self.transport: Any
         self.discovery: Any
         self.stopped: Deferred[None] = Deferred()
-        self.address = listen
+        self.address, self.management_address = listen, management
+        self._management: ManagementFront | None = None
         self._port: Any = None
         self._stopping, self._stop_at = False, 0
         self._sweeps = 0
@@ -59,6 +67,8 @@
     def start(self) -> None:
         """Listen, then set the module up with the list as last known and start watching."""
         host, port = self._listen
+        if self.management_address is not None:
+            self._listen_for_calls(*self.management_address)
         self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         self.address = (host, self._port.getHost().port)
         self.front.port = self._port
@@ -66,7 +76,23 @@
         self.front.listening = True
         self.engine.start(self.known())
         self.clock.call_later(SWEEP_US, self._sweep)
-        self._log.info("listening", address=f"{host}:{self.address[1]}")
+        second = self.management_address
+        calls = f"{second[0]}:{second[1]}" if second is not None else "none"
+        self._log.info("listening", address=f"{host}:{self.address[1]}", management=calls)
+
+    def _listen_for_calls(self, host: str, port: int) -> None:
+        self._management = calls = ManagementFront(self, self.clock, self._log)
+        listener = self._reactor.listenTCP(port, calls, backlog=BACKLOG, interface=host)
+        bound_accepts(listener, lambda: min(ACCEPTS, MOST_CALLS))
+        self.management_address = host, listener.getHost().port
+
+    @property
+    def serving(self) -> bool:
+        """What the second address says on a health check."""
+        return bool(self.front.serving) and not self._stopping
+
+    def drain(self, on: bool) -> None:
+        self.front.drain.set(on)
 
     def known(self) -> NodeList:
         raise NotImplementedError
@@ -117,6 +143,8 @@
         self.clock.call_later(SWEEP_US, self._sweep)
         self.front.sweep()
         self.transport.sweep()
+        if self._management is not None:
+            self._management.sweep()
         self._sweeps += 1
         if self._sweeps % REPORT_EVERY == 0:
             counts = self.engine.counts
@@ -141,7 +169,8 @@
         self, reactor: Reactor, config: configuration.Config, log: Logger, clock: Clock | None = None
     ) -> None:
         limits = config.limits
-        super().__init__(reactor, clock or ReactorClock(reactor), log, config.listen, limits.memory_mb)
+        clock = clock or ReactorClock(reactor)
+        super().__init__(reactor, clock, log, config.listen, config.management, limits.memory_mb)
         log = self._log
         self._config = config
         self.transport = BrickPool(
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -13,8 +13,9 @@
 from marllift.wire import WireError, parse_settings
 
 from .http.discovery import BadList, split_address
+from .http.management import MOST_CALLS
 
-# Standard streams, the reactor's own, the listener, discovery, and what is closing or still connecting.
+# Standard streams, the reactor's own, the listeners, discovery, and what is closing or still connecting.
 RESERVE = 24
 
 
@@ -28,10 +29,11 @@
 
     memory_mb: int = 192
     sockets: int = 1024
+    calls: int = 0  # connections of the second address, where there is one
 
     @property
     def _usable(self) -> int:
-        return max(4, self.sockets - RESERVE)
+        return max(4, self.sockets - RESERVE - self.calls)
 
     @property
     def client_connections(self) -> int:
@@ -55,6 +57,7 @@
 
     name: str
     listen: tuple[str, int]
+    management: tuple[str, int] | None
     discovery: tuple[str, int]
     seed: int
     limits: Limits
@@ -107,12 +110,18 @@
         raise ConfigError("settings: an object is needed")
     try:
         limits, permissions = data.get("limits", {}), settings.get("permissions", {})
+        management = data.get("management") or environ.get("BALANCER_MANAGEMENT")
         return Config(
             name=str(data.get("name") or environ.get("BALANCER_NAME", "")),
             listen=split_address(data.get("listen") or environ.get("BALANCER_LISTEN")),
+            management=split_address(management) if management else None,
             discovery=split_address(data.get("discovery") or environ.get("BALANCER_DISCOVERY")),
             seed=int(str(data.get("seed", "0")), 16),
-            limits=Limits(int(limits.get("memory_mb", 192)), int(limits.get("sockets", 1024))),
+            limits=Limits(
+                int(limits.get("memory_mb", 192)),
+                int(limits.get("sockets", 1024)),
+                MOST_CALLS if management else 0,
+            ),
             settings=parse_settings("\n".join(flatten(settings)).encode()),
             known=data.get("known") or {"revision": 0, "complete": True, "members": []},
             conn_idle_us=int(permissions.get("conn_idle_us", 15_000_000)),
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -16,6 +16,7 @@
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order
+from ..drain import Drain
 from ..net import Connection
 from .parser import BadMessage, Data, Head, Parser
 
@@ -251,7 +252,10 @@
         if self.lost:
             return
         self._front.used(self)
-        keep = self._keep and not (close or self._front.closing or (self.surplus and self._front.over))
+        # Where clients are sent away, an answer ends its connection; not before what has come behind it has
+        # its own, as that would be lost with the connection.
+        away = self._front.leaving or (self.surplus and self._front.over)
+        keep = self._keep and not (close or (away and not self._parser.buffered))
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", f"Content-Length: {len(body)}"]
         if hold_off_us is not None:
             lines.append(f"Retry-After: {hold_off_us / 1e6:.3f}")
@@ -373,11 +377,26 @@
         self._open: OrderedDict[ClientConnection, None] = OrderedDict()
         self._slow: OrderedDict[ClientConnection, int] = OrderedDict()  # bytes that wait to be read
         self._most_unread = pool.limit * pool.size // 2
+        self.drain = Drain(clock, self._sendable)
 
     @property
-    def ready(self) -> bool:
+    def serving(self) -> bool:
         return self.listening and self.engine.ready
 
+    @property
+    def ready(self) -> bool:
+        """Whether clients are to come; a drained head serves those that are here."""
+        return self.serving and not self.drain.on
+
+    @property
+    def leaving(self) -> bool:
+        return self.closing or self.drain.on
+
+    def _sendable(self) -> list[ClientConnection]:
+        """What a drain may close; one that has just come is about to ask."""
+        now = self.clock.now_us()
+        return [c for c in self._open if c.idle and (c.asked or now - c.opened_at > SILENT_US)]
+
     @property
     def connections(self) -> int:
         return len(self._open)
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -8,6 +8,7 @@
 from ..core.clock import ReactorClock
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Reactor
+from ..http.management import MOST_CALLS
 from .initiator import NodePool
 from .operator import Operator
 from .target import TargetFront
@@ -35,7 +36,14 @@
     """One head on the iSCSI-style wire: same engine, same module, same rules."""
 
     def __init__(self, reactor: Reactor, operator: Operator, log: Logger, clock: Clock | None = None) -> None:
-        super().__init__(reactor, clock or ReactorClock(reactor), log, operator.listen, operator.memory_mb)
+        super().__init__(
+            reactor,
+            clock or ReactorClock(reactor),
+            log,
+            operator.listen,
+            operator.management,
+            operator.memory_mb,
+        )
         self._operator = operator
         log = self._log
         self.transport = NodePool(
@@ -51,7 +59,7 @@
             self.clock,
             self.buffers,
             log,
-            min(MAX_SESSIONS, operator.sockets * 6 // 10),
+            min(MAX_SESSIONS, (operator.sockets - (MOST_CALLS if operator.management else 0)) * 6 // 10),
             self._finished,
         )
 
--- a/gaugesail/iscsi/operator.py
+++ b/gaugesail/iscsi/operator.py
@@ -63,6 +63,7 @@
     """The whole file."""
 
     listen: tuple[str, int]
+    management: tuple[str, int] | None
     target: str
     initiator: str
     settings: api.Settings
@@ -201,12 +202,16 @@
         raise OperatorError("[[class]]: one class that writes and one that does not are needed")
     target = _table(data, "target", dict, {})
     limits = _table(data, "limits", dict, {})
+    key = "listen"
     try:
-        listen = split_address(target.get("listen"))
+        listen = split_address(target.get(key))
+        key = "management"
+        management = split_address(target[key]) if key in target else None
     except BadList as error:
-        raise OperatorError(f"[target] listen: {error}") from None
+        raise OperatorError(f"[target] {key}: {error}") from None
     return Operator(
         listen,
+        management,
         _table(target, "name", str),
         _table(target, "initiator", str, "iqn.2026-12.ee.example:gaugesail"),
         settings,
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -13,6 +13,7 @@
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order
+from ..drain import Drain
 from ..net import Connection
 from .operator import Extent, Operator, Unit
 from .pdu import (
@@ -553,6 +554,7 @@
         on_idle: Callable[[], None],
     ) -> None:
         self.engine, self.operator, self.clock, self.pool, self.log = engine, operator, clock, pool, log
+        self.drain = Drain(clock, lambda: [session for session in self._open if session.idle])
         self.address = operator.listen
         self.listening = self.closing = False
         self.port: Any = None
@@ -565,6 +567,10 @@
     def connections(self) -> int:
         return len(self._open)
 
+    @property
+    def serving(self) -> bool:
+        return self.listening and self.engine.ready
+
     @property
     def room(self) -> int:
         return self._max + 8 - len(self._open)
@@ -578,11 +584,13 @@
 
     def opened(self, connection: TargetConnection) -> None:
         self._open[connection] = None
-        if len(self._open) > self._max or self.closing:
+        if self.closing or self.drain.on:
+            connection.unwelcome = True
+        elif len(self._open) > self._max:
             self.engine.counts["client_limit"] += 1
             now = self.clock.now_us()
             silent = next((other for other in self._open if other.silent(now)), None)
-            if silent is not None and not self.closing:
+            if silent is not None:
                 silent.close()
             else:
                 connection.unwelcome = True  # told so at its login
--- a/gaugesail/rehearsal/iscsi_peers.py
+++ b/gaugesail/rehearsal/iscsi_peers.py
@@ -24,7 +24,7 @@
     from . import defaults
 
     config: dict[str, Any] = {
-        "target": {"listen": "127.0.0.1:0", "name": TARGET},
+        "target": {"listen": "127.0.0.1:0", "management": "127.0.0.1:0", "name": TARGET},
         "limits": {"connect_timeout_ms": 250, "sockets": 1024},
         "rules": {"max_attempts": 4, "may_cancel": True, "drain_grace_us": 250_000,
                   "max_hold_off_us": 500_000,
--- a/gaugesail/rehearsal/peers.py
+++ b/gaugesail/rehearsal/peers.py
@@ -226,6 +226,14 @@
             self._connection.link.abortConnection()
 
 
+class Caller(HttpClient):
+    """One who operates the head, at its second address."""
+
+    def send_call(self, words: Words) -> None:
+        """call METHOD PATH: on a connection of its own, which the answer ends"""
+        self._write(f"{words[0]} {words[1]} HTTP/1.1\r\nHost: head\r\nContent-Length: 0\r\n\r\n".encode())
+
+
 GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 SPOILT = {
     "noise": "\x00\xff\x16\x03\x01\r\n\r\n\x80" * 8,
--- a/gaugesail/rehearsal/scenario.py
+++ b/gaugesail/rehearsal/scenario.py
@@ -10,6 +10,7 @@
     brick NAME shard=N                   a stand-in brick that the list names (http)
     node NAME shard=N                    a stand-in storage node (iscsi)
     client NAME / initiator NAME         a stand-in client
+    caller NAME                          one who calls at the second address
 
 then the four verbs:
 
@@ -32,10 +33,10 @@
 from typing import Any, Protocol
 
 from . import defaults, iscsi_peers
-from .peers import Directory, HttpBrick, HttpClient, Listener, Peer, ScenarioError, Words, options
+from .peers import Caller, Directory, HttpBrick, HttpClient, Listener, Peer, ScenarioError, Words, options
 
 PATIENCE_S = 10.0  # how long an expect without ``within`` waits
-DECLARATIONS = ("daemon", "brick", "node", "client", "initiator")
+DECLARATIONS = ("daemon", "brick", "node", "client", "initiator", "caller")
 VERBS = ("send", "expect", "close", "wait")
 
 
@@ -99,6 +100,7 @@
     """Where a scenario is played: in memory and its own time, or on loopback against a process."""
 
     reactor: Any
+    management: tuple[str, int]  # where the daemon takes calls, once it is started
 
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]: ...
     def change(self, config: dict[str, Any]) -> None: ...
@@ -164,6 +166,8 @@
             self.peers[words[0]] = iscsi_peers.IscsiNode(reactor, words[0], int(given.get("shard", 0)))
         elif what == "client":
             self.peers[words[0]] = HttpClient(reactor, words[0], lambda: self._address)
+        elif what == "caller":
+            self.peers[words[0]] = Caller(reactor, words[0], lambda: self._world.management)
         else:
             self.peers[words[0]] = iscsi_peers.IscsiClient(reactor, words[0], lambda: self._address)
 
@@ -182,6 +186,7 @@
                     directory.add(brick)
             config = {
                 "name": "rehearsed", "listen": "127.0.0.1:0", "discovery": directory.address, "seed": "7",
+                "management": "127.0.0.1:0",
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                 "known": directory.listing(True), "settings": defaults.settings(),
             }  # fmt: skip
--- a/gaugesail/rehearsal/worlds.py
+++ b/gaugesail/rehearsal/worlds.py
@@ -17,6 +17,7 @@
 from .. import config as configuration
 from ..app import Head
 from ..core.clock import ReactorClock
+from ..http.discovery import split_address
 from ..iscsi.app import IscsiHead
 from ..iscsi.operator import read_operator, write_toml
 from ..logs import make_logger
@@ -34,6 +35,7 @@
         self.reactor = MemoryReactor()
         self.reactor.advance(1_000_000.0)
         self.head: Any = None
+        self.management = ("", 0)
         self.log = open(os.devnull, "w")  # noqa: SIM115  closed with the world
         self.clock = ReactorClock(
             self.reactor, lambda: round(self.reactor.seconds() * 1e9), lambda: 1_700_000_000 * 10**9
@@ -47,6 +49,7 @@
             self.head = Head(self.reactor, configuration.read(config, {}), log, self.clock)
         self.head.stopped.addCallback(lambda _: daemon.saw("exit", "0"))
         self.head.start()
+        self.management = self.head.management_address
         return self.head.address  # type: ignore[no-any-return]
 
     def change(self, config: dict[str, Any]) -> None:
@@ -83,6 +86,7 @@
         self._daemon: Peer | None = None
         self._wire = "http"
         self._address: list[tuple[str, int]] = []
+        self.management = ("", 0)
 
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]:
         self._daemon, self._wire = daemon, wire
@@ -106,8 +110,8 @@
         assert self._process is not None and self._process.stderr is not None
         for line in self._process.stderr:
             if "event=listening" in line and not self._address:
-                host, _, port = line.partition("address=")[2].split()[0].rpartition(":")
-                self._address.append((host, int(port)))
+                self.management = split_address(line.partition("management=")[2].split()[0])
+                self._address.append(split_address(line.partition("address=")[2].split()[0]))
             elif "level=error" in line:
                 sys.stderr.write(line)
 
