Take nodes out for maintenance by calls, and put them back cold

An event of its own goes to the module (decide.py, _maintain): retired whatever lists say, its shard's waiting requests refused at the next look, cold with old faults forgotten on the call back.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -25,6 +25,8 @@
 from .http.management import ACCEPTS, MOST_CALLS, ManagementFront
 from .logs import LimitedLogger
 from .net import accept_pending, bound_accepts
+from .operations import Operations
+from .state import StateFile
 
 ACCEPT_US = 450_000  # after SIGTERM: new connections come for up to 0.4 s
 LAST_ACCEPT_US = 1_500_000  # and later where they had to wait for a place
@@ -46,8 +48,10 @@
         listen: tuple[str, int],
         management: tuple[str, int] | None,
         memory_mb: int,
+        folder: str | None,
     ) -> None:
         self._reactor, self._listen = reactor, listen
+        self._state = StateFile(folder, listen)
         self.clock = clock
         self._log = LimitedLogger(log, clock.now_us)
         # A quarter of the memory for buffers: the interpreter and the books take about 30 MB.
@@ -55,6 +59,7 @@
         self.engine: Engine
         self.front: Any
         self.transport: Any
+        self.operations: Operations
         self.discovery: Any
         self.stopped: Deferred[None] = Deferred()
         self.address, self.management_address = listen, management
@@ -67,6 +72,8 @@
     def start(self) -> None:
         """Listen, then set the module up with the list as last known and start watching."""
         host, port = self._listen
+        self.operations = Operations(self.engine, self.front, self._state, self._log)
+        self.operations.restore()
         if self.management_address is not None:
             self._listen_for_calls(*self.management_address)
         self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
@@ -81,19 +88,11 @@
         self._log.info("listening", address=f"{host}:{self.address[1]}", management=calls)
 
     def _listen_for_calls(self, host: str, port: int) -> None:
-        self._management = calls = ManagementFront(self, self.clock, self._log)
+        self._management = calls = ManagementFront(self.operations, self.clock, self._log)
         listener = self._reactor.listenTCP(port, calls, backlog=BACKLOG, interface=host)
         bound_accepts(listener, lambda: min(ACCEPTS, MOST_CALLS))
         self.management_address = host, listener.getHost().port
 
-    @property
-    def serving(self) -> bool:
-        """What the second address says on a health check."""
-        return bool(self.front.serving) and not self._stopping
-
-    def drain(self, on: bool) -> None:
-        self.front.drain.set(on)
-
     def known(self) -> NodeList:
         raise NotImplementedError
 
@@ -118,6 +117,7 @@
         """Finish in order: accept a while, serve a while, close what is idle, finish what was taken."""
         if not self._stopping:
             self._stopping, self._stop_at = True, self.clock.now_us()
+            self.operations.stopping = True
             self._log.info("stopping", open=self.engine.open_requests, clients=self.front.connections)
             self.clock.call_later(ACCEPT_US, self._refuse_new)
             self.clock.call_later(SERVE_US, self.front.close_idle)
@@ -157,6 +157,7 @@
                 clients=self.front.connections,
                 nodes=self.transport.connections,
                 buffers=self.buffers.out,
+                maintenance=len(self.engine.away),
                 lines_dropped=self._log.dropped,
                 **fresh,
             )
@@ -170,7 +171,9 @@
     ) -> None:
         limits = config.limits
         clock = clock or ReactorClock(reactor)
-        super().__init__(reactor, clock, log, config.listen, config.management, limits.memory_mb)
+        super().__init__(
+            reactor, clock, log, config.listen, config.management, limits.memory_mb, config.folder
+        )
         log = self._log
         self._config = config
         self.transport = BrickPool(
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -67,6 +67,7 @@
     connect_timeout_us: int
     zones: list[str]
     kinds: list[str]
+    folder: str | None  # for what the next process of this head is to know
 
 
 def flatten(value: Any, path: str = "") -> list[str]:
@@ -128,6 +129,7 @@
             connect_timeout_us=int(permissions.get("connect_timeout_us", 250_000)),
             zones=[str(zone) for zone in settings.get("zones", [])],
             kinds=[str(kind) for kind in settings.get("flavors", [])],
+            folder=environ.get("TMPDIR") or None,
         )
     except (BadList, WireError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(str(error)) from None
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import heapq
-from collections import Counter
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 from typing import Any
 
@@ -18,6 +18,7 @@
 
 from .ports import Attempt, Call, Clock, Discovery, Logger, NodeTransport, Order, Reply
 
+MOST_IDS = 10_000  # of nodes that a list has ever named
 GUARD_US = 4_000  # the last answer leaves this long before the client's time is up
 ANY_DELAY_US = 10 * 60 * 1_000_000
 
@@ -63,6 +64,8 @@
         self._next_ticket = 1
         self._busy = False
         self.counts: Counter[str] = Counter()
+        self.away: set[NodeId] = set()  # in maintenance
+        self._seen: OrderedDict[NodeId, None] = OrderedDict()
         self.ready = False
 
     @property
@@ -80,8 +83,7 @@
 
     def start(self, known: api.NodeList) -> None:
         """Set the module up with the list as it was last known."""
-        self._events.append(known)
-        self._run()
+        self.listed(known)
         self.ready = True
 
     # ---- from the fronts ----
@@ -125,9 +127,25 @@
 
     def listed(self, news: api.NodeList) -> None:
         """News of the list goes to the module at once: the drain rule's time runs."""
+        for line in news.nodes:
+            self._seen[line.node] = None
+            self._seen.move_to_end(line.node)
+        while len(self._seen) > MOST_IDS:  # on a long day bricks come and go by the thousand
+            self._seen.popitem(last=False)
         self._events.append(news)
         self._run()
 
+    def has_seen(self, node: NodeId) -> bool:
+        """Whether a list has ever named this node."""
+        return node in self._seen or node in self.away
+
+    def maintain(self, node: NodeId, on: bool) -> None:
+        """Operators take a node out, or put it back: as a drain that no list ends."""
+        (self.away.add if on else self.away.discard)(node)
+        self._transport.maintain(node, on)
+        self._events.append(api.Maintenance(node, on))
+        self._run()
+
     def probe_ended(self, node: NodeId, result: Result, elapsed_us: int) -> None:
         self._feed(api.ProbeResult(node, result, elapsed_us))
 
@@ -241,6 +259,9 @@
         self._out[(attempt.ticket, number)] = attempt
         self.counts["sent"] += 1
         self._at(deadline, _ATTEMPT, attempt)
+        if action.node in self.away:  # whatever the module says: nothing new until the call back
+            self.attempt_ended(attempt, Result.NO_CONNECTION)
+            return
         try:
             self._transport.send(attempt, self)
         except Exception as error:  # whatever the transport meets, the attempt must end
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -228,6 +228,7 @@
         self.max_answer = max(MAX_BODY, min(MAX_ANSWER, buffers.limit * buffers.size // ANSWERS))
         self._lines: dict[NodeId, Line] = {}
         self._bricks: dict[NodeId, _Brick] = {}
+        self._away: set[NodeId] = set()  # in maintenance
         self._closing = False
 
     @property
@@ -258,6 +259,16 @@
             if not line.ready or changed:
                 self._stop(node)
 
+    def maintain(self, node: NodeId, on: bool) -> None:
+        """Out of use whatever the list says, or back.  What is out may finish; what waits for it ends."""
+        (self._away.add if on else self._away.discard)(node)
+        self._stop(node)
+
+    def _usable(self, node: NodeId) -> Line | None:
+        """Where a brick is, if it may be sent anything new."""
+        line = self._lines.get(node)
+        return line if line is not None and line.ready and node not in self._away else None
+
     def _stop(self, node: NodeId) -> None:
         """Nothing may be written any more on the strength of the old line."""
         brick = self._bricks.get(node)
@@ -277,8 +288,8 @@
     def send(self, attempt: Attempt, sink: AttemptSink) -> None:
         now = self.clock.now_us()
         job = _Job(sink, attempt.node, now, attempt.deadline_us, attempt)
-        line = self._lines.get(attempt.node)
-        if line is None or not line.ready:
+        line = self._usable(attempt.node)
+        if line is None:
             self.finish(job, Result.NO_CONNECTION)
         elif attempt.shard >= 0 and line.shard != attempt.shard:
             self.finish(job, Result.MOOT)  # the brick would turn it away unrun
@@ -298,7 +309,7 @@
     def probe(self, node: NodeId, sink: AttemptSink) -> None:
         now = self.clock.now_us()
         job = _Job(sink, node, now, now + PROBE_US)
-        if (line := self._lines.get(node)) is None or not line.ready:
+        if self._usable(node) is None:
             self.finish(job, Result.NO_CONNECTION)
             return
         self.clock.call_later(PROBE_US, lambda: self.finish(job, Result.TIMEOUT))
@@ -352,8 +363,8 @@
 
     def _start(self, connection: BrickConnection, brick: _Brick, job: _Job) -> None:
         """The last look before the first byte: the brick may drain by now."""
-        attempt, line = job.attempt, self._lines.get(job.node)
-        if line is None or not line.ready:
+        attempt, line = job.attempt, self._usable(job.node)
+        if line is None:
             connection.abort()
             self.finish(job, Result.NO_CONNECTION)
             return
@@ -386,7 +397,7 @@
     # ---- connections ----
 
     def _dial(self, brick: _Brick) -> None:
-        line = self._lines.get(brick.node)
+        line = self._usable(brick.node)
         # One more than wait: where each is used again at once, the next would wait for its rest every time.
         coming = len(brick.dials) + len(brick.idle)
         if line is None or self._closing or len(brick.dials) >= MAX_DIALS or coming > len(brick.waiting):
--- a/gaugesail/http/management.py
+++ b/gaugesail/http/management.py
@@ -25,6 +25,7 @@
     @property
     def serving(self) -> bool: ...
     def drain(self, on: bool) -> None: ...
+    def maintain(self, node: bytes, on: bool) -> bool: ...
 
 
 class CallConnection(Connection):
@@ -59,6 +60,9 @@
                     return
         except BadMessage as error:
             self._answer(error.status, str(error))
+        except OSError as error:  # what cannot be kept for the next process is not done
+            self._front.log.error("state_not_written", error=repr(error))
+            self._answer(503, "cannot write it down")
         except Exception as error:  # a fault of ours: the caller is owed an answer all the same
             self._front.log.error("call_raised", error=repr(error))
             self._answer(500, "internal fault")
@@ -120,6 +124,11 @@
                     return 405, "use POST"
                 drain = word == b"fail"
                 self._head.drain(drain)
-                self.log.info("drained" if drain else "taking_clients")
                 return 200, "clients are sent away" if drain else "clients are taken"
+            case [b"", b"bricks", node, b"maint" | b"ready" as word]:
+                if method != "POST":
+                    return 405, "use POST"
+                if not self._head.maintain(node, word == b"maint"):
+                    return 404, "no list has ever named that brick"
+                return 200, "out of use" if word == b"maint" else "in use"
         return 404, "no such call"
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -43,6 +43,7 @@
             operator.listen,
             operator.management,
             operator.memory_mb,
+            operator.folder,
         )
         self._operator = operator
         log = self._log
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -303,6 +303,7 @@
         self._lines: dict[NodeId, NodeLine] = {}
         self._books: dict[NodeId, _Book] = {}
         self._sessions: dict[NodeSession, None] = {}
+        self._away: set[NodeId] = set()  # in maintenance
         self._look: Call | None = None
 
     @property
@@ -321,6 +322,17 @@
             if not same or now is None or now.node.mode is not NodeMode.READY:
                 self._stop(node)
 
+    def maintain(self, node: NodeId, on: bool) -> None:
+        """Out of use whatever the file says, or back.  What is in transfer finishes; what waits ends."""
+        (self._away.add if on else self._away.discard)(node)
+        self._stop(node)
+
+    def _usable(self, node: NodeId) -> NodeLine | None:
+        """Where a node is, if it may be sent anything new."""
+        line = self._lines.get(node)
+        ready = line is not None and line.node.mode is NodeMode.READY and node not in self._away
+        return line if ready else None
+
     def _stop(self, node: NodeId) -> None:
         book = self._books.get(node)
         if book is None:
@@ -336,8 +348,8 @@
 
     def send(self, attempt: Attempt, sink: AttemptSink) -> None:
         job = _Job(sink, attempt.node, self.clock.now_us(), attempt, attempt.payload)
-        line = self._lines.get(attempt.node)
-        if line is None or line.node.mode is not NodeMode.READY:
+        line = self._usable(attempt.node)
+        if line is None:
             self.finish(job, Result.NO_CONNECTION)
         elif attempt.shard >= 0 and line.node.shard != attempt.shard:
             self.finish(job, Result.MOOT)
@@ -346,7 +358,7 @@
 
     def probe(self, node: NodeId, sink: AttemptSink) -> None:
         job = _Job(sink, node, self.clock.now_us())
-        if node not in self._lines or self._lines[node].node.mode is not NodeMode.READY:
+        if self._usable(node) is None:
             self.finish(job, Result.NO_CONNECTION)
             return
         self.clock.call_later(PROBE_US, lambda: self.finish(job, Result.TIMEOUT))
@@ -377,8 +389,8 @@
     def pump(self, book: _Book) -> None:
         """Start what waits, as far as the node's window goes.  The last look before the first byte."""
         while book.waiting:
-            session, line = book.session, self._lines.get(book.node)
-            if line is None or line.node.mode is not NodeMode.READY:
+            session, line = book.session, self._usable(book.node)
+            if line is None:
                 self._fail_waiting(book)
                 return
             if session is None:
@@ -434,7 +446,7 @@
             self._fail_waiting(book)
             return
         self._sessions[session] = None
-        line = self._lines.get(book.node)
+        line = self._usable(book.node)
         if book.session is not None or line is None or line != session._line:
             session.drop(Result.NO_CONNECTION)  # the list has moved on
             return
--- a/gaugesail/iscsi/operator.py
+++ b/gaugesail/iscsi/operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import tomllib
 from dataclasses import dataclass, fields
 from pathlib import Path
@@ -75,6 +76,7 @@
     sockets: int
     memory_mb: int
     seed: int
+    folder: str | None
 
 
 def _table(owner: dict[str, Any], key: str, kind: type, default: Any = None) -> Any:
@@ -223,6 +225,7 @@
         _whole(limits, "sockets", 16, 1 << 20, 1024),
         _whole(limits, "memory_mb", 32, 1 << 20, 192),
         _whole(target, "seed", 0, 1 << 62, 0),
+        _table(target, "folder", str, "") or os.environ.get("TMPDIR") or None,
     )
 
 
--- a/gaugesail/rehearsal/worlds.py
+++ b/gaugesail/rehearsal/worlds.py
@@ -31,7 +31,8 @@
 class MemoryWorld:
     """The daemon's own code on a reactor in memory: the same scenario always plays the same way."""
 
-    def __init__(self) -> None:
+    def __init__(self, **environ: str) -> None:
+        self._environ = environ
         self.reactor = MemoryReactor()
         self.reactor.advance(1_000_000.0)
         self.head: Any = None
@@ -46,7 +47,7 @@
         if wire == "iscsi":
             self.head = IscsiHead(self.reactor, read_operator(config), log, self.clock)
         else:
-            self.head = Head(self.reactor, configuration.read(config, {}), log, self.clock)
+            self.head = Head(self.reactor, configuration.read(config, self._environ), log, self.clock)
         self.head.stopped.addCallback(lambda _: daemon.saw("exit", "0"))
         self.head.start()
         self.management = self.head.management_address
@@ -54,8 +55,8 @@
 
     def change(self, config: dict[str, Any]) -> None:
         """The file that the daemon was started with is another, and SIGHUP tells it so."""
-        iscsi = isinstance(self.head, IscsiHead)
-        self.head.hang_up(lambda: read_operator(config) if iscsi else configuration.read(config, {}))
+        iscsi, environ = isinstance(self.head, IscsiHead), self._environ
+        self.head.hang_up(lambda: read_operator(config) if iscsi else configuration.read(config, environ))
 
     def stop(self) -> None:
         self.head.stop()
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -50,6 +50,7 @@
         self.floor = 1 / settings.gateways  # all hosts at their floor still keep one request out
         self.jobs: dict[int, Job] = {}
         self.nodes: dict[api.NodeId, NodeBook] = {}
+        self.away: set[api.NodeId] = set()  # in maintenance
         self.shards: dict[int, Shard] = defaultdict(lambda: Shard(len(self.classes)))
         self.volumes: dict[tuple[int, int, float], Volume] = {}
         self.chains: dict[int, Chain] = {}
@@ -58,7 +59,8 @@
         self.acts += [api.WatchList(True)] * settings.ask_for_lists
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Outcome: self._outcome, api.Request: self._request, api.TimerFired: self._bell,
-            api.NodeList: self._list, api.PeerMessage: self._peer, api.ClientGone: self._gone}  # fmt: skip
+            api.NodeList: self._list, api.PeerMessage: self._peer, api.ClientGone: self._gone,
+            api.Maintenance: self._maintain}  # fmt: skip
         self.dirty: dict[int, Shard] = {}
         self.ticking, self.watch_fails = False, 0
 
@@ -92,6 +94,7 @@
             listed = {line.node for line in event.nodes}
             for node in self.nodes.values():
                 if node.id not in listed:
+                    node.listed = False
                     self._retire(node)
         for line in event.nodes:
             book = self.nodes.get(line.node)
@@ -101,26 +104,48 @@
                 if known := [node.latency for node in self.nodes.values() if node.latency != self.target]:
                     book.latency = [sum(kind) / len(known) for kind in zip(*known, strict=True)]
                 self.nodes[line.node] = book
-            if line.mode is not api.NodeMode.READY:
+            book.listed = line.mode is api.NodeMode.READY
+            if not book.listed or book.id in self.away:
                 self._retire(book)
                 continue
             if line.started_us > book.started:
-                book.started = line.started_us
-                book.cold_since = line.started_us if self._coldness(line.started_us) < 1 else None
-                book.part = (line.started_us > self.born or not self.set.may_tell) / self.set.gateways
-                cold = book.cold_since is not None
-                book.windows, book.misses = [COLD_WINDOW if cold else START_WINDOW] * TIERS, 0
-            book.ready = True
-            shard = self.shards[line.shard]
-            if shard.node is None or not shard.node.ready or book.started >= shard.node.started:
-                shard.node = book
-            self.dirty[line.shard] = shard
+                self._started(book, line.started_us)
+            self._admit(book)
+
+    def _started(self, node: NodeBook, at: int) -> None:
+        node.started = at
+        node.cold_since = at if self._coldness(at) < 1 else None
+        node.part = (at > self.born or not self.set.may_tell) / self.set.gateways
+        cold = node.cold_since is not None
+        node.windows, node.misses = [COLD_WINDOW if cold else START_WINDOW] * TIERS, 0
+
+    def _admit(self, node: NodeBook) -> None:
+        node.ready = True
+        shard = self.shards[node.shard]
+        if shard.node is None or not shard.node.ready or node.started >= shard.node.started:
+            shard.node, shard.away = node, False
+        self.dirty[node.shard] = shard
 
     def _retire(self, node: NodeBook) -> None:
         node.ready = False
         shard = self.shards[node.shard]
         if shard.node is node:
             shard.node = None
+        shard.away = shard.node is None and (shard.away or node.id in self.away)
+
+    def _maintain(self, event: api.Maintenance) -> None:
+        """Out until the call back, whatever lists say; then a cold node, with its old faults forgotten."""
+        node, was = self.nodes.get(event.node), event.node in self.away
+        (self.away.add if event.on else self.away.discard)(event.node)
+        if node is None or was is event.on:
+            return
+        self._retire(node)
+        if not event.on:
+            # When it restarted is not told: the latest moment is the safe one.
+            self._started(node, self.now)
+            node.lived, node.next_at, node.rest = self.now, 0, [0] * TIERS
+            if node.listed:
+                self._admit(node)
 
     # ---- requests ----
 
@@ -423,7 +448,8 @@
             self.ticking = False
             for number, shard in list(self.shards.items()):
                 for job in [job for waiting in shard.waiting for job in waiting]:
-                    if self.now >= job.aim_at or (job.attempts and not self._may_repeat(job)):
+                    barred = shard.away and not job.movable
+                    if barred or self.now >= job.aim_at or (job.attempts and not self._may_repeat(job)):
                         self._end(job)
                     elif job.movable and job.risky_at is None and shard.node is None:
                         shard.waiting[job.kind].remove(job)
@@ -443,7 +469,7 @@
                 age, plan = self.now - volume.at, volume.plan
                 if age > FORGET_US and plan.limit * age >= plan.limit_burst * 1e6:  # its stores are full
                     del self.volumes[key]
-            self.nodes = {key: node for key, node in self.nodes.items() if node.ready or node.out}
+            self.nodes = {key: node for key, node in self.nodes.items() if node.listed or node.out}
 
     def _control(self, shard: Shard) -> None:
         """Each period: the FAST TCP rule moves the window, the Little's-law forecast splits it."""
--- a/marllift/interface.py
+++ b/marllift/interface.py
@@ -257,7 +257,17 @@
     data: bytes
 
 
-Event = NodeList | Request | Started | Outcome | ClientGone | TimerFired | ProbeResult | PeerMessage
+@dataclass(slots=True, frozen=True)
+class Maintenance:
+    """Operators take a node out, or put it back; until then no list does."""
+
+    node: NodeId
+    on: bool
+
+
+Event = (
+    Maintenance | NodeList | Request | Started | Outcome | ClientGone | TimerFired | ProbeResult | PeerMessage
+)
 
 
 # ---- actions: what a gateway is to do ----
--- a/marllift/state.py
+++ b/marllift/state.py
@@ -66,6 +66,7 @@
     latency: list[float]
     base: list[float] = field(default_factory=list)
     ready: bool = True
+    listed: bool = True  # ready by the latest list, in maintenance or not
     started: int = 0
     cold_since: int | None = None
     sums: list[float] = field(default_factory=list)
@@ -100,6 +101,7 @@
     arrivals: list[int] = field(default_factory=list)
     last_queue: list[int] = field(default_factory=list)
     node: NodeBook | None = None
+    away: bool = False  # its node was taken out: nothing that waits can be sent before the call back
 
     def __post_init__(self) -> None:
         self.waiting = [[] for _ in range(self.count)]
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -52,6 +52,7 @@
         self.answers: dict[int, api.Action] = {}
         self.risky: dict[int, tuple[int, int]] = {}  # request: (sent at, shard)
         self.modes: dict[bytes, tuple[NodeMode, int, int, int]] = {}  # mode, told at, shard, started
+        self.away: set[bytes] = set()  # in maintenance
         self.order: dict[int, deque[int]] = defaultdict(deque)
         self.rest: dict[int, tuple[int, int]] = {}  # key: (until, request that may go on)
         self.took: list[int] = []
@@ -96,6 +97,14 @@
             api.NodeList(kind, tuple(api.Node(node_id(n), n % 8, mode, 0, 0, 1.0, s) for n, mode, s in lines))
         )
 
+    def maintain(self, number: int, on: bool) -> None:
+        node = node_id(number)
+        if not on and node in self.away and node in self.modes:
+            mode, told, shard, _ = self.modes[node]
+            self.modes[node] = (mode, told, shard, self.now)  # it restarted, at the latest now
+        (self.away.add if on else self.away.discard)(node)
+        self.feed(api.Maintenance(node, on))
+
     def ask(self, kind: int = 0, shard: int = 0, give_up: int | None = None, **more: Any) -> int:
         number = self.next_id
         self.next_id += 1
@@ -176,6 +185,7 @@
         mode, told, shard, started = self.modes[action.node]
         late = self.now > told + self.given.drain_grace_us
         assert mode is NodeMode.READY or not late, "rule 3: sent to a drained node"
+        assert action.node not in self.away, "sent to a node in maintenance"
         assert request.shard < 0 or request.shard == shard, "sent to another shard"
         assert not any(k[0] == number for k in self.out), "two attempts at once"
         if number in self.risky:
--- a/tests/rehearse.py
+++ b/tests/rehearse.py
@@ -19,8 +19,8 @@
     return found
 
 
-def play(steps: list[Step] | str) -> MemoryWorld:
+def play(steps: list[Step] | str, **environ: str) -> MemoryWorld:
     """Play one scenario; what does not come true raises.  The world is returned for a look at its head."""
-    world = MemoryWorld()
+    world = MemoryWorld(**environ)
     rehearse(split(steps)[""] if isinstance(steps, str) else steps, world)
     return world
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -250,3 +250,25 @@
     assert len(rig.out) == 5, "one trial beside the four that are stuck"
     rig.answer((1, 0), Result.TIMEOUT)
     assert rig.gateway.nodes[driver.node_id(0)].misses == 1
+
+
+def test_a_node_back_from_maintenance_is_cold_and_its_old_faults_are_forgotten() -> None:
+    rig = Driver(driver.settings(budget_window_us=0, cold_units=60.0))
+    book = rig.gateway.nodes[driver.node_id(0)]
+    book.misses, book.next_at = 6, rig.now + 10 * SEC
+    rig.maintain(0, True)
+    sent = len(rig.sends)
+    number = rig.ask()
+    rig.pass_time(20_000)
+    assert isinstance(rig.answers[number], api.Refuse), "what waits for it is refused at once"
+    rig.list_nodes([(0, NodeMode.READY, rig.now)])
+    rig.pass_time(3 * SEC)
+    rig.maintain(0, True)
+    rig.maintain(0, False)
+    rig.pass_time(2 * SEC)
+    assert book.cold_since == rig.now - 2 * SEC and not book.misses
+    rig.ask()
+    assert len(rig.sends) == sent + 1, "in use again at once"
+    before = book.started
+    rig.maintain(0, False)
+    assert book.started == before, "a call back of what is in use changes nothing"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -25,6 +25,7 @@
     st.tuples(st.just("gone"), st.integers(0, 50)),
     st.tuples(st.just("list"), st.integers(0, 2), st.sampled_from(list(NodeMode)), st.booleans()),
     st.tuples(st.just("whole"), st.sets(st.integers(0, 2))),
+    st.tuples(st.just("maintain"), st.integers(0, 2), st.booleans()),
     st.tuples(st.just("failed")),
     st.tuples(st.just("stale")),
     st.tuples(st.just("restart")),
@@ -57,6 +58,8 @@
                 rig.list_nodes(
                     [(n, NodeMode.READY, rig.modes.get(driver.node_id(n), (0, 0, 0, 0))[3]) for n in
                      sorted(numbers)], api.ListKind.FULL)  # fmt: skip
+            case ("maintain", number, on):
+                rig.maintain(number, on)
             case ("failed",):
                 rig.feed(api.NodeList(api.ListKind.FAILED))
             case ("stale",):
@@ -66,7 +69,9 @@
                 )  # fmt: skip
             case ("restart",):
                 lines = [(int(n[3]), m[0], m[3]) for n, m in rig.modes.items() if m[0] is NodeMode.READY]
-                rig = Driver(site, 0, rig.now + 1000)
+                away, rig = rig.away, Driver(site, 0, rig.now + 1000)
+                for node in away:
+                    rig.maintain(int(node[3]), True)
                 rig.list_nodes(lines, api.ListKind.CACHED)
         rig.pass_time(1000)
     for _ in range(60):
