--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -9,7 +9,7 @@
 from dataclasses import fields
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.logger import globalLogBeginner
 
 from marllift.interface import NodeList
@@ -19,6 +19,8 @@
 from .core.clock import ReactorClock
 from .core.engine import Engine
 from .core.ports import Clock, Logger, Reactor
+from .door import MOVED_LAST_US
+from .handover import Handover, Inheritance, adopt
 from .http.bricks import BrickPool
 from .http.discovery import DiscoveryClient
 from .http.front import ClientFront
@@ -26,12 +28,15 @@
 from .logs import LimitedLogger
 from .net import accept_pending, bound_accepts
 from .operations import Operations
-from .state import StateFile
+from .state import State, StateFile
 
 ACCEPT_US = 450_000  # after SIGTERM: new connections come for up to 0.4 s
 LAST_ACCEPT_US = 1_500_000  # and later where they had to wait for a place
 ACCEPT_STEP_US = 20_000
 SERVE_US = 700_000  # after SIGTERM: until then, connections in use are kept
+LEAST_LONGEST_US = 3_000_000  # SIGKILL comes the longest deadline after SIGTERM, and this at the least,
+END_US = 500_000  # and 0.7 s more: by then all has its answer
+ABLE_US, ABLE_STEP_US = 3_000_000, 20_000  # how long a next process waits for its watch before it serves
 SWEEP_US = 250_000
 REPORT_EVERY = 40  # sweeps
 BACKLOG = 512
@@ -55,37 +60,69 @@
         self.clock = clock
         self._log = LimitedLogger(log, clock.now_us)
         # A quarter of the memory for buffers: the interpreter and the books take about 30 MB.
-        self.buffers = BufferPool(max(64, memory_mb * 1024 * 1024 // 4 // BUFFER_BYTES))
+        self._most_buffers = max(64, memory_mb * 1024 * 1024 // 4 // BUFFER_BYTES)
+        self.buffers = BufferPool(self._most_buffers)
         self.engine: Engine
         self.front: Any
         self.transport: Any
-        self.operations: Operations
         self.discovery: Any
+        self.operations: Operations
         self.stopped: Deferred[None] = Deferred()
         self.address, self.management_address = listen, management
         self._management: ManagementFront | None = None
+        self._handover = Handover(reactor, clock, self._log, folder, listen, self)
         self._port: Any = None
-        self._stopping, self._stop_at = False, 0
+        self._stopping, self._stop_at, self._able_by = False, 0, 0
+        self._superseded = False
         self._sweeps = 0
         self._reported: Counter[str] = Counter()
 
-    def start(self) -> None:
-        """Listen, then set the module up with the list as last known and start watching."""
-        host, port = self._listen
-        self.operations = Operations(self.engine, self.front, self._state, self._log)
-        self.operations.restore()
+    # ---- start ----
+
+    def start(self) -> Deferred[Any]:
+        """Listen for calls, take over from a running process or listen, set the module up, serve.
+
+        The Deferred fires when the address is ours, and fails where it cannot be had.
+        """
         if self.management_address is not None:
             self._listen_for_calls(*self.management_address)
-        self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        return self._handover.ask().addCallback(self._begin)
+
+    def _begin(self, inherited: Inheritance | None) -> None:
+        host, port = self._listen
+        if inherited is None:
+            self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        else:
+            self._port = adopt(self._reactor, inherited.fd, self.front)
+            self.engine.recall([str(node).encode() for node in inherited.known.get("seen", [])])
         self.address = (host, self._port.getHost().port)
         self.front.port = self._port
         bound_accepts(self._port, lambda: self.front.room)
-        self.front.listening = True
-        self.engine.start(self.known())
+        self.operations.restore()
+        self.engine.start(self.known(inherited.known if inherited is not None else {}))
         self.clock.call_later(SWEEP_US, self._sweep)
+        if inherited is None:
+            self._serve()
+        else:
+            self._able_by = self.clock.now_us() + ABLE_US
+            self._serve_when_able()
+
+    def _serve_when_able(self) -> None:
+        """What comes is left to the process before this one until our list is fresh."""
+        if self._stopping:
+            return
+        if self.discovery.up or self.clock.now_us() >= self._able_by:
+            self._serve()
+        else:
+            self.clock.call_later(ABLE_STEP_US, self._serve_when_able)
+
+    def _serve(self) -> None:
+        self.front.listening = True
+        self.front.accept(True)
+        self._handover.serving()
         second = self.management_address
         calls = f"{second[0]}:{second[1]}" if second is not None else "none"
-        self._log.info("listening", address=f"{host}:{self.address[1]}", management=calls)
+        self._log.info("listening", address=f"{self.address[0]}:{self.address[1]}", management=calls)
 
     def _listen_for_calls(self, host: str, port: int) -> None:
         self._management = calls = ManagementFront(self.operations, self.clock, self._log)
@@ -93,9 +130,39 @@
         bound_accepts(listener, lambda: min(ACCEPTS, MOST_CALLS))
         self.management_address = host, listener.getHost().port
 
-    def known(self) -> NodeList:
+    def known(self, told: dict[str, Any]) -> NodeList:
+        """The list to start with; ``told`` is what the process before this one handed over."""
+        raise NotImplementedError
+
+    # ---- another process of this head ----
+
+    def bequeath(self) -> tuple[int, dict[str, Any]] | None:
+        if self._stopping or not self.front.accepting:
+            return None
+        return self._port.fileno(), {"seen": [node.decode(errors="replace") for node in self.engine.seen]}
+
+    def beside(self, on: bool) -> None:
+        """Both count as one head: each has half of what is limited."""
+        self._log.info("process_beside" if on else "process_alone")
+        self.engine.overlap(on)
+        self.buffers.trim(self._most_buffers // 2 if on else self._most_buffers)
+        self.limit(2 if on else 1)
+
+    def limit(self, processes: int) -> None:
+        """Keep within this process's part of the descriptors."""
         raise NotImplementedError
 
+    def superseded(self, on: bool) -> None:
+        self._superseded = on
+        if not self._stopping or on:
+            self.front.supersede(on)
+        self._log.info("superseded" if on else "superseded_no_more", clients=self.front.connections)
+
+    def follow(self, state: State) -> None:
+        self.operations.follow(state)
+
+    # ---- a new configuration ----
+
     def hang_up(self, load: Callable[[], Any]) -> None:
         """SIGHUP: read the configuration again; whatever is wrong with it, the one in force stays."""
         try:
@@ -113,6 +180,8 @@
         if waiting := sorted(set(names) - live):
             self._log.warning("reload_needs_restart", entries=",".join(waiting))
 
+    # ---- stop ----
+
     def stop(self) -> Deferred[None]:
         """Finish in order: accept a while, serve a while, close what is idle, finish what was taken."""
         if not self._stopping:
@@ -120,22 +189,38 @@
             self.operations.stopping = True
             self._log.info("stopping", open=self.engine.open_requests, clients=self.front.connections)
             self.clock.call_later(ACCEPT_US, self._refuse_new)
-            self.clock.call_later(SERVE_US, self.front.close_idle)
+            self.clock.call_later(SERVE_US, self._close_idle)
+            self.clock.call_later(self.longest_us() + END_US, self.engine.end_all)
         return self.stopped
 
+    def longest_us(self) -> int:
+        """The longest deadline, as the platform counts it before it kills."""
+        return max(LEAST_LONGEST_US, *(spec.deadline_us for spec in self.engine.settings.classes))
+
     def _refuse_new(self) -> None:
+        if self._superseded or self._port is None:
+            return  # the next process accepts
         # What came in time but waits in the kernel, as all places were in use, must not be reset.
         if self.front.held and self.clock.now_us() < self._stop_at + LAST_ACCEPT_US:
             self.clock.call_later(ACCEPT_STEP_US, self._refuse_new)
             return
         accept_pending(self._port)
-        self.front.listening = False
+        self.front.listening = self.front.accepting = False
         self._port.stopListening()
 
+    def _close_idle(self) -> None:
+        # Clients of a process that is replaced are in no hurry: each request that crosses a close costs one.
+        if self._superseded and self.clock.now_us() < self._stop_at + MOVED_LAST_US:
+            self.clock.call_later(SWEEP_US, self._close_idle)
+            if self.front.connections:
+                return
+        self.front.close_idle()
+
     def _finished(self) -> None:
         if not self.stopped.called:
             self.discovery.close()
             self.transport.close()
+            self._handover.close()
             self._log.info("stopped", open=self.engine.open_requests)
             self.stopped.callback(None)
 
@@ -206,11 +291,25 @@
             limits.client_overflow,
             self._finished,
         )
+        self.operations = Operations(self.engine, self.front, self._state, self._handover.tell, log)
 
-    def known(self) -> NodeList:
-        news: NodeList = self.discovery.know(self._config.known)
+    def known(self, told: dict[str, Any]) -> NodeList:
+        # Another service may count its revisions from anywhere: the process before must have used the same.
+        same = told.get("discovery") == self.discovery.host
+        news: NodeList = self.discovery.know(told["list"] if same else self._config.known)
         return news
 
+    def bequeath(self) -> tuple[int, dict[str, Any]] | None:
+        legacy = super().bequeath()
+        if legacy is not None:
+            legacy[1].update(discovery=self.discovery.host, list=self.discovery.latest)
+        return legacy
+
+    def limit(self, processes: int) -> None:
+        limits = self._config.limits.of(processes)
+        self.front.limit(limits.client_connections, limits.client_overflow)
+        self.transport.limit(limits.node_connections)
+
     def reload(self, config: configuration.Config) -> None:
         """Discovery may move while the head runs; ``known`` and the seed are for a start."""
         self._kept(self._config, config, {"discovery", "known", "seed"})
@@ -251,15 +350,15 @@
     observer: Any = lambda event: _twisted_event(log, event)  # noqa: E731
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
 
+    def cannot_start(failure: Any) -> None:  # an address in use, say: there is nothing to serve
+        log.error("cannot_start", error=repr(failure.value))
+        failed.append(1)
+        reactor.stop()
+
     def up() -> None:
-        try:
-            head.start()
-            gc.collect()
-            gc.freeze()
-        except Exception as error:  # an address in use, say: there is nothing to serve
-            log.error("cannot_start", error=repr(error))
-            failed.append(1)
-            reactor.stop()
+        maybeDeferred(head.start).addErrback(cannot_start)
+        gc.collect()
+        gc.freeze()
 
     head.stopped.addCallback(lambda _: reactor.callLater(0, reactor.stop))
     reactor.callWhenRunning(up)
--- a/gaugesail/buffers.py
+++ b/gaugesail/buffers.py
@@ -18,6 +18,11 @@
         self.size, self.limit, self.out = size, limit, 0
         self._keep, self._free = keep, list[bytearray]()
 
+    def trim(self, limit: int) -> None:
+        """Another limit; buffers that are not in use go back to the system."""
+        self.limit = limit
+        self._free.clear()
+
     def take(self) -> bytearray:
         if self.out >= self.limit:
             raise PoolEmpty(f"{self.out} buffers of {self.size} bytes are in use")
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -5,7 +5,7 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +31,10 @@
     sockets: int = 1024
     calls: int = 0  # connections of the second address, where there is one
 
+    def of(self, processes: int) -> Limits:
+        """The part of one of several processes that run beside each other."""
+        return replace(self, sockets=self.sockets // processes)
+
     @property
     def _usable(self) -> int:
         return max(4, self.sockets - RESERVE - self.calls)
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -48,7 +48,7 @@
         log: Logger,
         max_open: int = 4096,
     ) -> None:
-        self._set, self._clock, self._log = settings, clock, log
+        self.settings, self._clock, self._log = settings, clock, log
         self._transport, self._discovery = transport, discovery
         self._gateway = Gateway(settings, seed, clock.now_us())
         self._max_open = max_open
@@ -83,8 +83,8 @@
 
     def start(self, known: api.NodeList) -> None:
         """Set the module up with the list as it was last known."""
-        self.listed(known)
         self.ready = True
+        self.listed(known)
 
     # ---- from the fronts ----
 
@@ -100,7 +100,7 @@
             return 0
         if len(self._open) >= self._max_open:
             self.counts["refused_at_door"] += 1
-            self._clock.call_later(0, lambda: reply.refused(self._set.max_hold_off_us))
+            self._clock.call_later(0, lambda: reply.refused(self.settings.max_hold_off_us))
             return 0
         entry = _Open(ticket, order, reply, now + order.timeout_us)
         self._open[ticket] = entry
@@ -139,6 +139,26 @@
         """Whether a list has ever named this node."""
         return node in self._seen or node in self.away
 
+    @property
+    def seen(self) -> list[NodeId]:
+        return list(self._seen)
+
+    def recall(self, nodes: list[NodeId]) -> None:
+        """What lists have named to the process before this one."""
+        self._seen.update((node, None) for node in nodes[-MOST_IDS:])
+
+    def overlap(self, on: bool) -> None:
+        """Another process of this head works beside this one."""
+        self._events.append(api.Overlap(on))
+        self._run()
+
+    def end_all(self) -> None:
+        """The process is about to be killed: what is still owed is answered now."""
+        for ticket in list(self._open):
+            self.counts["overdue"] += 1
+            self._fail(ticket, "out of time")
+            self._feed(api.ClientGone(ticket))
+
     def maintain(self, node: NodeId, on: bool) -> None:
         """Operators take a node out, or put it back: as a drain that no list ends."""
         (self.away.add if on else self.away.discard)(node)
@@ -184,8 +204,8 @@
 
     def _run(self) -> None:
         """Give the module what has come in, carry out what it says.  Never raises, never nests."""
-        if self._busy:
-            return  # the loop below takes what was just added
+        if self._busy or not self.ready:
+            return  # the loop below takes what was just added, the first list what came before it
         self._busy = True
         try:
             if self._events:
@@ -244,7 +264,7 @@
         if entry is not None and action.patience_us:
             deadline = min(deadline, now + action.patience_us)
         # Nothing is sent after the end, past the cap, past the time, or beside an attempt that is out.
-        if entry is None or entry.out is not None or number >= self._set.max_attempts or deadline <= now:
+        if entry is None or entry.out is not None or number >= self.settings.max_attempts or deadline <= now:
             self.counts["moot_send"] += 1
             if entry is not None and entry.out is None:
                 entry.attempts += 1
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -235,6 +235,12 @@
     def connections(self) -> int:
         return sum(brick.connections for brick in self._bricks.values())
 
+    def limit(self, connections: int) -> None:
+        """How many connections there may be; what is idle beyond that goes."""
+        self._max = connections
+        while self.connections > self._max and self._make_room():
+            pass
+
     # ---- the list ----
 
     def listed(self, lines: dict[NodeId, Line | None], full: bool) -> None:
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -102,6 +102,7 @@
                 if isinstance(part, Head):
                     if part.status != 200:
                         raise BadList(f"status {part.status}")
+                    self._owner.up = self._owner.up or self.follow
                 elif isinstance(part, Data):
                     self._text += part.data
                     if len(self._text) > MAX_LINE:
@@ -155,6 +156,8 @@
         self._zones, self._kinds = zones, kinds
         self._listed, self._tell = listed, tell
         self._version = 0
+        self._members: dict[str, Any] = {}  # the list as it stands, in discovery's form
+        self.up = False  # a watch has been answered
         self._calls: set[_Call] = set()
         self._dials: set[Deferred[Any]] = set()
         self._watching: _Call | None = None
@@ -169,9 +172,24 @@
         """The list that the configuration brings, perhaps old."""
         version, _, nodes, lines = read_list(data, self._zones, self._kinds)
         self._version = version
+        self._remember(data, True)
         self._listed(lines, True)
         return NodeList(ListKind.CACHED, tuple(nodes))
 
+    def _remember(self, data: Any, full: bool) -> None:
+        if full:
+            self._members = {}
+        for item in data["members"]:
+            if item["phase"] == "Gone":
+                self._members.pop(item["id"], None)
+            else:
+                self._members[item["id"]] = item
+
+    @property
+    def latest(self) -> dict[str, Any]:
+        """The list as it stands, for the next process of this head."""
+        return {"revision": self._version, "complete": True, "members": list(self._members.values())}
+
     def watch(self, on: bool) -> None:
         self._wanted = on
         if on and self._watching is None:  # a move may have been first: a second watch would be one too many
@@ -238,6 +256,7 @@
         if not full and version < self._version:
             return  # an old change, from a call that overlapped the watch
         self._version = version
+        self._remember(data, full)
         self._listed(lines, full)
         self._tell(NodeList(ListKind.FULL if full else ListKind.CHANGES, tuple(nodes)))
 
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.protocol import Factory, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
 from marllift import interface as api
@@ -16,7 +16,7 @@
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order
-from ..drain import Drain
+from ..door import Door
 from ..net import Connection
 from .parser import BadMessage, Data, Head, Parser
 
@@ -351,11 +351,9 @@
         self._take().answer(status, reason.encode())
 
 
-class ClientFront(Factory):
+class ClientFront(Door):
     """Accepts clients, within its part of the sockets."""
 
-    noisy = False
-
     def __init__(
         self,
         engine: Engine,
@@ -365,36 +363,23 @@
         log: Logger,
         max_connections: int,
         overflow: int,
-        on_idle: Callable[[], None] | None = None,
+        on_idle: Callable[[], None],
     ) -> None:
-        self.engine, self.clock, self.pool, self._log = engine, clock, pool, log
+        super().__init__(engine, clock, on_idle)
+        self.pool, self._log = pool, log
         self.reader = OrderReader(settings)
         self.hold_off_us = settings.max_hold_off_us or 1_000_000
-        self.listening = self.closing = False
-        self._max, self._most, self._on_idle = max_connections, max_connections + overflow, on_idle
-        self.port: Any = None  # what accepts, set when it listens
-        self.held = False  # accepting is held back
+        self.limit(max_connections, overflow)
         self._open: OrderedDict[ClientConnection, None] = OrderedDict()
         self._slow: OrderedDict[ClientConnection, int] = OrderedDict()  # bytes that wait to be read
-        self._most_unread = pool.limit * pool.size // 2
-        self.drain = Drain(clock, self._sendable)
-
-    @property
-    def serving(self) -> bool:
-        return self.listening and self.engine.ready
 
-    @property
-    def ready(self) -> bool:
-        """Whether clients are to come; a drained head serves those that are here."""
-        return self.serving and not self.drain.on
-
-    @property
-    def leaving(self) -> bool:
-        return self.closing or self.drain.on
+    def limit(self, connections: int, overflow: int) -> None:
+        """How many clients may be here; beside the next process it is half."""
+        self._max, self._most = connections, connections + overflow
 
-    def _sendable(self) -> list[ClientConnection]:
-        """What a drain may close; one that has just come is about to ask."""
+    def sendable(self) -> list[ClientConnection]:
         now = self.clock.now_us()
+        # One that has just come is about to ask.
         return [c for c in self._open if c.idle and (c.asked or now - c.opened_at > SILENT_US)]
 
     @property
@@ -418,8 +403,7 @@
             self.engine.counts["client_limit"] += 1
             connection.surplus = not self._relieve()
         if len(self._open) >= self._most and self.port is not None and not self.held:
-            self.held = True  # the rest waits in the kernel, where it costs no descriptor
-            self.port.stopReading()
+            self.hold(True)
 
     def _relieve(self) -> bool:
         """Close one connection that nobody is likely to miss, the longest idle of the readiest kind."""
@@ -442,17 +426,15 @@
     def closed(self, connection: ClientConnection) -> None:
         self._open.pop(connection, None)
         if self.held and len(self._open) < self._most:
-            self.held = False
-            if self.listening:
-                self.port.startReading()
-        if self.closing and not self._open and self._on_idle is not None:
-            self._on_idle()
+            self.hold(False)
+        if self.closing and not self._open:
+            self.on_idle()
 
     def filled(self, connection: ClientConnection) -> None:
         """A client does not read its answer.  Together such clients may hold so much of the memory; past that
         the one that has been slow for longest goes."""
         self._slow[connection] = connection.unread
-        if sum(self._slow.values()) > self._most_unread:
+        if sum(self._slow.values()) > self.pool.limit * self.pool.size // 2:
             slowest, _ = self._slow.popitem(last=False)
             self.engine.counts["slow_reader"] += 1
             slowest.link.abortConnection()
@@ -479,5 +461,5 @@
         for connection in list(self._open):
             if connection.idle:
                 connection.close()
-        if not self._open and self._on_idle is not None:
-            self._on_idle()
+        if not self._open:
+            self.on_idle()
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from marllift.interface import ListKind, NodeList
 
 from ..app import Service
 from ..core.clock import ReactorClock
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Reactor
+from ..handover import Inheritance
 from ..http.management import MOST_CALLS
+from ..operations import Operations
 from .initiator import NodePool
 from .operator import Operator
 from .target import TargetFront
@@ -19,6 +23,8 @@
 class FileDiscovery:
     """The operator's file as the list of nodes: watching it means to hear of a reload."""
 
+    up = True
+
     def __init__(self, head: IscsiHead) -> None:
         self._head = head
 
@@ -26,7 +32,7 @@
         pass  # a reload is told in any case
 
     def fetch(self) -> None:
-        self._head.clock.call_later(0, lambda: self._head.engine.listed(self._head.known(ListKind.FULL)))
+        self._head.clock.call_later(0, lambda: self._head.engine.listed(self._head.listing(ListKind.FULL)))
 
     def close(self) -> None:
         pass
@@ -60,15 +66,26 @@
             self.clock,
             self.buffers,
             log,
-            min(MAX_SESSIONS, (operator.sockets - (MOST_CALLS if operator.management else 0)) * 6 // 10),
+            self._sessions(1),
             self._finished,
         )
+        self.operations = Operations(self.engine, self.front, self._state, self._handover.tell, log)
+
+    def _sessions(self, processes: int) -> int:
+        sockets = self._operator.sockets // processes - (MOST_CALLS if self._operator.management else 0)
+        return min(MAX_SESSIONS, max(1, sockets * 6 // 10))
 
-    def start(self) -> None:
-        super().start()
+    def limit(self, processes: int) -> None:
+        self.front.limit(self._sessions(processes))
+
+    def _begin(self, inherited: Inheritance | None) -> None:
+        super()._begin(inherited)
         self.front.address = self.address
 
-    def known(self, kind: ListKind = ListKind.CACHED) -> NodeList:
+    def known(self, told: dict[str, Any]) -> NodeList:
+        return self.listing(ListKind.CACHED)
+
+    def listing(self, kind: ListKind) -> NodeList:
         self.transport.listed(self._operator.nodes)
         return NodeList(kind, tuple(line.node for line in self._operator.nodes.values()))
 
@@ -77,4 +94,4 @@
         self._kept(self._operator, operator, {"nodes"})
         self._operator = operator
         self._log.info("reloaded", nodes=len(operator.nodes))
-        self.engine.listed(self.known(ListKind.FULL))
+        self.engine.listed(self.listing(ListKind.FULL))
--- a/gaugesail/iscsi/operator.py
+++ b/gaugesail/iscsi/operator.py
@@ -5,6 +5,7 @@
 import json
 import os
 import tomllib
+from collections.abc import Mapping
 from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
@@ -196,7 +197,7 @@
     return nodes
 
 
-def read_operator(data: dict[str, Any]) -> Operator:
+def read_operator(data: dict[str, Any], environ: Mapping[str, str]) -> Operator:
     """A file's contents; OperatorError says which entry is wrong and why."""
     settings = _settings(data)
     writes = [spec.writes for spec in settings.classes]
@@ -225,13 +226,13 @@
         _whole(limits, "sockets", 16, 1 << 20, 1024),
         _whole(limits, "memory_mb", 32, 1 << 20, 192),
         _whole(target, "seed", 0, 1 << 62, 0),
-        _table(target, "folder", str, "") or os.environ.get("TMPDIR") or None,
+        _table(target, "folder", str, "") or environ.get("TMPDIR") or None,
     )
 
 
 def load_operator(path: str) -> Operator:
     try:
-        return read_operator(tomllib.loads(Path(path).read_text()))
+        return read_operator(tomllib.loads(Path(path).read_text()), os.environ)
     except (OSError, ValueError) as error:
         raise OperatorError(f"{path}: {error}") from None
 
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.protocol import Factory, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order
-from ..drain import Drain
+from ..door import Door
 from ..net import Connection
 from .operator import Extent, Operator, Unit
 from .pdu import (
@@ -538,10 +538,8 @@
                 self.check(task, ABORTED, TIMED_OUT)
 
 
-class TargetFront(Factory):
-    """Accepts sessions, within its part of the sockets."""
-
-    noisy = False
+class TargetFront(Door):
+    """Accepts sessions, within its part of the sockets; what is too many is told so at its login."""
 
     def __init__(
         self,
@@ -553,13 +551,10 @@
         max_connections: int,
         on_idle: Callable[[], None],
     ) -> None:
-        self.engine, self.operator, self.clock, self.pool, self.log = engine, operator, clock, pool, log
-        self.drain = Drain(clock, lambda: [session for session in self._open if session.idle])
+        super().__init__(engine, clock, on_idle)
+        self.operator, self.pool, self.log = operator, pool, log
         self.address = operator.listen
-        self.listening = self.closing = False
-        self.port: Any = None
-        self.held = False  # sessions that are too many are told so at their login, and never wait
-        self._max, self._on_idle = max_connections, on_idle
+        self._max = max_connections
         self._open: dict[TargetConnection, None] = {}
         self._names = 0
 
@@ -567,9 +562,11 @@
     def connections(self) -> int:
         return len(self._open)
 
-    @property
-    def serving(self) -> bool:
-        return self.listening and self.engine.ready
+    def limit(self, connections: int) -> None:
+        self._max = connections
+
+    def sendable(self) -> list[TargetConnection]:
+        return [session for session in self._open if session.idle]
 
     @property
     def room(self) -> int:
@@ -584,7 +581,7 @@
 
     def opened(self, connection: TargetConnection) -> None:
         self._open[connection] = None
-        if self.closing or self.drain.on:
+        if self.leaving:
             connection.unwelcome = True
         elif len(self._open) > self._max:
             self.engine.counts["client_limit"] += 1
@@ -598,7 +595,7 @@
     def closed(self, connection: TargetConnection) -> None:
         self._open.pop(connection, None)
         if self.closing and not self._open:
-            self._on_idle()
+            self.on_idle()
 
     def sweep(self) -> None:
         now = self.clock.now_us()
@@ -613,4 +610,4 @@
             if connection.idle:
                 connection.close()
         if not self._open:
-            self._on_idle()
+            self.on_idle()
--- a/gaugesail/operations.py
+++ b/gaugesail/operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from marllift.interface import NodeId
@@ -14,8 +15,10 @@
 class Operations:
     """Carries out what is asked, and keeps it for the next process before it says yes."""
 
-    def __init__(self, engine: Engine, front: Any, file: StateFile, log: Logger) -> None:
-        self._engine, self._front, self._file, self._log = engine, front, file, log
+    def __init__(
+        self, engine: Engine, front: Any, file: StateFile, tell: Callable[[State], None], log: Logger
+    ) -> None:
+        self._engine, self._front, self._file, self._tell, self._log = engine, front, file, tell, log
         self.stopping = False
 
     @property
@@ -48,6 +51,7 @@
     def _ask(self, state: State) -> None:
         if state != self.state:
             self._file.write(state)  # first: what cannot be kept is not begun, and the caller is told no
+            self._tell(state)  # a process beside this one is bound by the same yes
             self.follow(state)
 
     def drain(self, on: bool) -> None:
--- a/gaugesail/rehearsal/memory.py
+++ b/gaugesail/rehearsal/memory.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Callable
 from typing import Any
 
@@ -28,7 +29,7 @@
 class MemoryTransport:
     """One end of a connection."""
 
-    def __init__(self, reactor: MemoryReactor, protocol: Any, host: IPv4Address, peer: IPv4Address) -> None:
+    def __init__(self, reactor: MemoryReactor, protocol: Any, host: Any, peer: Any) -> None:
         self._reactor, self._protocol = reactor, protocol
         self._addresses = host, peer
         self.other: MemoryTransport | None = None
@@ -36,15 +37,16 @@
         self._producer: Any = None
         self._streaming = self._producer_paused = self._reading_paused = False
         self._scheduled = self._closing = False
+        self._descriptors: list[int] = []  # on their way to the other side
         self.disconnected = False
 
     def setTcpNoDelay(self, on: bool) -> None:
         pass
 
-    def getHost(self) -> IPv4Address:
+    def getHost(self) -> Any:
         return self._addresses[0]
 
-    def getPeer(self) -> IPv4Address:
+    def getPeer(self) -> Any:
         return self._addresses[1]
 
     def write(self, data: bytes) -> None:
@@ -56,6 +58,9 @@
             self._producer.pauseProducing()
         self._soon()
 
+    def sendFileDescriptor(self, descriptor: int) -> None:
+        self._descriptors.append(self._reactor.descriptor(self._reactor.descriptors[descriptor]))
+
     def _soon(self) -> None:
         if not self._scheduled and not self.disconnected:
             self._scheduled = True
@@ -69,6 +74,9 @@
             data = bytes(self._out)
             self._out.clear()
             if not self.other.disconnected:
+                descriptors, self._descriptors = self._descriptors, []
+                for descriptor in descriptors:
+                    self.other._protocol.fileDescriptorReceived(descriptor)
                 self.other._protocol.dataReceived(data)
         if self._producer is not None and not self.disconnected:
             if not self._streaming or self._producer_paused:
@@ -131,13 +139,20 @@
 
 
 class _Port:
-    def __init__(self, reactor: MemoryReactor, address: IPv4Address, factory: Any) -> None:
+    """A listening socket; several ports may share one, as processes do that hand it over."""
+
+    def __init__(self, reactor: MemoryReactor, address: Any, factory: Any) -> None:
         self._reactor, self._address, self.factory = reactor, address, factory
         self.held = False  # connections wait to be accepted
+        reactor.ports.setdefault(address, []).append(self)
 
-    def getHost(self) -> IPv4Address:
+    def getHost(self) -> Any:
         return self._address
 
+    def fileno(self) -> int:
+        """A descriptor of its own for each call, that stands for the socket."""
+        return self._reactor.descriptor(self._address)
+
     def stopReading(self) -> None:
         self.held = True
 
@@ -145,7 +160,11 @@
         self.held = False
 
     def stopListening(self) -> None:
-        self._reactor.ports.pop((self._address.host, self._address.port), None)
+        ports = self._reactor.ports.get(self._address, [])
+        if self in ports:
+            ports.remove(self)
+        if not ports:
+            self._reactor.ports.pop(self._address, None)
 
 
 class _Connector:
@@ -161,7 +180,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.ports: dict[tuple[str, int], _Port] = {}
+        self.ports: dict[Any, list[_Port]] = {}  # by address; a Unix socket's is its path
+        self.descriptors: dict[int, Any] = {}  # real ones, that stand for the socket at an address
         self.silent: set[tuple[str, int]] = set()
         self._next_port = 20_000
 
@@ -169,11 +189,27 @@
         if not port:
             self._next_port += 1
             port = self._next_port
-        if (interface, port) in self.ports:
+        address = IPv4Address("TCP", interface, port)
+        if address in self.ports:
             raise CannotListenError(interface, port, OSError("address in use"))
-        made = self.ports[(interface, port)] = _Port(self, IPv4Address("TCP", interface, port), factory)
+        return _Port(self, address, factory)
+
+    def listenUNIX(self, address: str, factory: Any, backlog: int = 50, mode: int = 0o666) -> _Port:
+        return _Port(self, os.path.realpath(address), factory)
+
+    def descriptor(self, address: Any) -> int:
+        made = os.open(os.devnull, os.O_RDONLY)
+        self.descriptors[made] = address
         return made
 
+    def adoptStreamPort(self, descriptor: int, family: int, factory: Any) -> _Port:
+        return _Port(self, self.descriptors[descriptor], factory)
+
+    def connectUNIX(
+        self, address: str, factory: Any, timeout: float = 30, checkPID: int = 0  # noqa: N803
+    ) -> _Connector:
+        return self._connect(os.path.realpath(address), factory, timeout, False)
+
     def connectTCP(
         self,
         host: str,
@@ -182,7 +218,11 @@
         timeout: float = 30,
         bindAddress: Any = None,  # noqa: N803
     ) -> _Connector:
-        connector, there = _Connector(), IPv4Address("TCP", host, port)
+        silent = (host, port) in self.silent
+        return self._connect(IPv4Address("TCP", host, port), factory, timeout, silent)
+
+    def _connect(self, there: Any, factory: Any, timeout: float, silent: bool) -> _Connector:
+        connector = _Connector()
         factory.doStart()
 
         def failed(error: Exception) -> None:
@@ -193,11 +233,12 @@
 
         def up() -> None:
             connector.failed = lambda error: None
-            if (host, port) in self.silent:
+            if silent:
                 factory.clientConnectionFailed(connector, Failure(TimeoutError()))
                 return
-            listener = self.ports.get((host, port))
-            if listener is not None and listener.held:
+            ports = self.ports.get(there, [])
+            listener = next((port for port in ports if not port.held), None)
+            if ports and listener is None:
                 self.callLater(0.01, up)
                 return
             server = listener.factory.buildProtocol(there) if listener is not None else None
@@ -213,7 +254,7 @@
             client.makeConnection(ends[0])
 
         connector.failed = failed
-        call: Any = self.callLater(timeout if (host, port) in self.silent else 0, up)
+        call: Any = self.callLater(timeout if silent else 0, up)
         return connector
 
     def run_until(self, done: Callable[[], bool], most: float) -> bool:
--- a/gaugesail/rehearsal/scenario.py
+++ b/gaugesail/rehearsal/scenario.py
@@ -21,7 +21,8 @@
     wait SECONDS
 
 ``list`` is discovery and ``daemon`` the daemon itself, whose end is seen as ``exit CODE``;
-``send daemon reload`` replaces its file.
+``send daemon reload`` replaces its file, ``send daemon replace`` starts the next process beside it, and
+``close daemon`` then means the one that has run for longest.
 """
 
 from __future__ import annotations
@@ -102,6 +103,7 @@
     reactor: Any
     management: tuple[str, int]  # where the daemon takes calls, once it is started
 
+    def address(self) -> str: ...
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]: ...
     def change(self, config: dict[str, Any]) -> None: ...
     def stop(self) -> None: ...
@@ -117,6 +119,7 @@
         super().__init__("daemon")
         self._world = world
         self.config: dict[str, Any] = {}
+        self.wire = "http"
 
     def send_reload(self, words: Words) -> None:
         """reload [path=value ...]: its file is replaced and SIGHUP sent; what was changed before stays so"""
@@ -124,6 +127,10 @@
             defaults.change(self.config, path, value)
         self._world.change(self.config)
 
+    def send_replace(self, words: Words) -> None:
+        """replace: another process is started beside the one that runs, with the same address for clients"""
+        self._world.start(self.wire, self.config, self)
+
     def close(self, words: Words) -> None:
         self._world.stop()
 
@@ -192,8 +199,12 @@
             }  # fmt: skip
             for path, value in self._changes.items():
                 defaults.change(config, path, value)
+        if any(step.words[:2] == ("daemon", "replace") for step in self._steps):
+            # Both processes are told the same address: it can't be one that the system picks.
+            owner = config if self._wire == "http" else config["target"]
+            owner["listen"] = self._world.address()
         self.peers["list"] = directory
-        self._daemon.config = config
+        self._daemon.config, self._daemon.wire = config, self._wire
         self._address = self._world.start(self._wire, config, self._daemon)
 
     def _act(self, step: Step) -> None:
--- a/gaugesail/rehearsal/worlds.py
+++ b/gaugesail/rehearsal/worlds.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import io
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +16,8 @@
 from pathlib import Path
 from typing import Any
 
+from twisted.python.failure import Failure
+
 from .. import config as configuration
 from ..app import Head
 from ..core.clock import ReactorClock
@@ -32,34 +36,50 @@
     """The daemon's own code on a reactor in memory: the same scenario always plays the same way."""
 
     def __init__(self, **environ: str) -> None:
-        self._environ = environ
+        self._folder = tempfile.TemporaryDirectory()
+        self._environ = {"TMPDIR": self._folder.name} | environ
         self.reactor = MemoryReactor()
         self.reactor.advance(1_000_000.0)
-        self.head: Any = None
+        self.heads: list[Any] = []  # the processes, in the order they were started
         self.management = ("", 0)
-        self.log = open(os.devnull, "w")  # noqa: SIM115  closed with the world
+        self.log = io.StringIO()
         self.clock = ReactorClock(
             self.reactor, lambda: round(self.reactor.seconds() * 1e9), lambda: 1_700_000_000 * 10**9
         )
 
+    @property
+    def head(self) -> Any:
+        """The first process, mostly the only one."""
+        return self.heads[0]
+
+    def address(self) -> str:
+        return "127.0.0.1:9000"
+
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]:
         log = make_logger(self.log)
         if wire == "iscsi":
-            self.head = IscsiHead(self.reactor, read_operator(config), log, self.clock)
+            made: Any = IscsiHead(self.reactor, read_operator(config, self._environ), log, self.clock)
         else:
-            self.head = Head(self.reactor, configuration.read(config, self._environ), log, self.clock)
-        self.head.stopped.addCallback(lambda _: daemon.saw("exit", "0"))
-        self.head.start()
-        self.management = self.head.management_address
-        return self.head.address  # type: ignore[no-any-return]
+            made = Head(self.reactor, configuration.read(config, self._environ), log, self.clock)
+        self.heads.append(made)
+        made.stopped.addCallback(lambda _: daemon.saw("exit", "0"))
+        failed: list[Failure] = []
+        made.start().addErrback(failed.append)
+        self.until(lambda: made.front.listening or bool(failed), START_S)
+        if failed:
+            raise ScenarioError(f"the daemon did not start: {failed[0].value!r}")
+        self.management = made.management_address
+        return made.address  # type: ignore[no-any-return]
 
     def change(self, config: dict[str, Any]) -> None:
         """The file that the daemon was started with is another, and SIGHUP tells it so."""
-        iscsi, environ = isinstance(self.head, IscsiHead), self._environ
-        self.head.hang_up(lambda: read_operator(config) if iscsi else configuration.read(config, environ))
+        head, environ = self.heads[-1], self._environ
+        iscsi = isinstance(head, IscsiHead)
+        head.hang_up(lambda: read_operator(config, environ) if iscsi else configuration.read(config, environ))
 
     def stop(self) -> None:
-        self.head.stop()
+        """SIGTERM, to the process that has run for longest."""
+        next(head for head in self.heads if not head.stopped.called).stop()
 
     def until(self, done: Callable[[], bool], seconds: float) -> bool:
         return self.reactor.run_until(done, seconds)
@@ -71,7 +91,7 @@
         self.reactor.run_until(lambda: False, seconds)
 
     def end(self) -> None:
-        self.log.close()
+        self._folder.cleanup()
 
 
 class LoopbackWorld:
@@ -83,23 +103,32 @@
         self.reactor: Any = reactor
         self._folder = tempfile.TemporaryDirectory()
         self._file = Path(self._folder.name) / "config"
-        self._process: subprocess.Popen[str] | None = None
+        (Path(self._folder.name) / "kept").mkdir()
+        self._processes: list[subprocess.Popen[str]] = []
+        self._running: list[subprocess.Popen[str]] = []
         self._daemon: Peer | None = None
         self._wire = "http"
-        self._address: list[tuple[str, int]] = []
+        self._addresses: list[tuple[str, int]] = []
         self.management = ("", 0)
 
+    def address(self) -> str:
+        with socket.socket() as free:  # a port that is free now; it is asked for again at once
+            free.bind(("127.0.0.1", 0))
+            return f"127.0.0.1:{free.getsockname()[1]}"
+
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]:
         self._daemon, self._wire = daemon, wire
         self._write(config)
         command = [sys.executable, "-m", "gaugesail"] + ([str(self._file)] if wire == "iscsi" else [])
-        self._process = subprocess.Popen(
-            command, env=os.environ | {"BALANCER_CONFIG": str(self._file)}, stderr=subprocess.PIPE, text=True
-        )
-        threading.Thread(target=self._read_log, daemon=True).start()
-        if not self.until(lambda: bool(self._address), START_S):
+        kept = str(Path(self._folder.name) / "kept")
+        environ = os.environ | {"BALANCER_CONFIG": str(self._file), "TMPDIR": kept}
+        process = subprocess.Popen(command, env=environ, stderr=subprocess.PIPE, text=True)
+        self._processes.append(process)
+        self._running.append(process)
+        threading.Thread(target=self._read_log, args=[process], daemon=True).start()
+        if not self.until(lambda: len(self._addresses) == len(self._processes), START_S):
             raise ScenarioError("the daemon did not start")
-        return self._address[0]
+        return self._addresses[-1]
 
     def _write(self, config: dict[str, Any]) -> None:
         """In one go, as an operator's tool would: the daemon must never read half a file."""
@@ -107,23 +136,21 @@
         fresh.write_text(write_toml(config) if self._wire == "iscsi" else json.dumps(config))
         fresh.replace(self._file)
 
-    def _read_log(self) -> None:
-        assert self._process is not None and self._process.stderr is not None
-        for line in self._process.stderr:
-            if "event=listening" in line and not self._address:
+    def _read_log(self, process: subprocess.Popen[str]) -> None:
+        assert process.stderr is not None
+        for line in process.stderr:
+            if "event=listening" in line:
                 self.management = split_address(line.partition("management=")[2].split()[0])
-                self._address.append(split_address(line.partition("address=")[2].split()[0]))
+                self._addresses.append(split_address(line.partition("address=")[2].split()[0]))
             elif "level=error" in line:
                 sys.stderr.write(line)
 
     def change(self, config: dict[str, Any]) -> None:
         self._write(config)
-        assert self._process is not None
-        self._process.send_signal(signal.SIGHUP)
+        self._running[-1].send_signal(signal.SIGHUP)
 
     def stop(self) -> None:
-        assert self._process is not None
-        self._process.send_signal(signal.SIGTERM)
+        self._running[0].send_signal(signal.SIGTERM)
 
     def until(self, done: Callable[[], bool], seconds: float) -> bool:
         end = time.monotonic() + seconds
@@ -131,11 +158,11 @@
             if time.monotonic() > end:
                 return False
             self.reactor.iterate(0.005)
-            if self._process is not None and self._daemon is not None:
-                code = self._process.poll()
-                if code is not None:
+            for process in list(self._running):
+                code = process.poll()
+                if code is not None and self._daemon is not None:
                     self._daemon.saw("exit", str(code))
-                    self._daemon = None
+                    self._running.remove(process)
         return True
 
     def settle(self) -> None:
@@ -145,9 +172,9 @@
         self.until(lambda: False, seconds)
 
     def end(self) -> None:
-        if self._process is not None and self._process.poll() is None:
-            self._process.kill()
-            self._process.wait()
+        for process in self._running:
+            process.kill()
+            process.wait()
         self._folder.cleanup()
 
 
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -60,9 +60,10 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Outcome: self._outcome, api.Request: self._request, api.TimerFired: self._bell,
             api.NodeList: self._list, api.PeerMessage: self._peer, api.ClientGone: self._gone,
-            api.Maintenance: self._maintain}  # fmt: skip
+            api.Maintenance: self._maintain, api.Overlap: self._overlap}  # fmt: skip
         self.dirty: dict[int, Shard] = {}
         self.ticking, self.watch_fails = False, 0
+        self.alone_at = 0.0  # until then another process of this gateway has half of what is rationed
 
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         """Take in what has happened by now and return what to do, in order."""
@@ -147,6 +148,14 @@
             if node.listed:
                 self._admit(node)
 
+    def _overlap(self, event: api.Overlap) -> None:
+        # What the other has sent to a cold node counts for a window yet.
+        self.alone_at = float("inf") if event.on else self.now + self.set.fall_us
+
+    @property
+    def lives(self) -> int:
+        return 1 + (self.now < self.alone_at)
+
     # ---- requests ----
 
     def _request(self, event: api.Request) -> None:
@@ -201,7 +210,8 @@
         mine = span / volume.mounts**0.5  # between the even part, as use is uneven, and the whole
         volume.reserve = min(plan.reserve + self.set.most_units, volume.reserve + plan.reserve * mine)
         volume.share = min(plan.rate * 2, volume.share + plan.rate * 2 * mine)
-        volume.limit = min(plan.limit_burst / volume.mounts, volume.limit + span * plan.limit / volume.mounts)
+        fill = span * plan.limit / volume.mounts / self.lives
+        volume.limit = min(plan.limit_burst / volume.mounts, volume.limit + fill)
 
     def _wait(self, job: Job) -> None:
         self.shards[job.shard].waiting[job.kind].append(job)
@@ -313,7 +323,8 @@
         if node.cold_since <= self.born and start <= self.born:
             return borne, 0.0  # an earlier life of this gateway may have spent its part, or given it
         # What it served fitted its power; only what it did not may add up to the multiple less one.
-        return borne, borne * node.part - sum(units for at, units in node.unserved if at >= start)
+        used = sum(units for at, units in node.unserved if at >= start)
+        return borne, borne * node.part / self.lives - used
 
     def _give(self, shard: Shard, node: NodeBook) -> None:
         """Give what is not needed here of a cold node to a host that wants it; deducted before it is told."""
@@ -359,7 +370,8 @@
             self.taken.popleft()
         while self.extras and self.extras[0] < self.now - span:
             self.extras.popleft()
-        return len(self.extras) + 1 <= self.set.budget_free + self.set.budget_share * len(self.taken)
+        free = self.set.budget_free / self.lives
+        return len(self.extras) + 1 <= free + self.set.budget_share * len(self.taken)
 
     def _tier(self, job: Job) -> int:
         """What its units would be to its volume: 0 inside the reserve, 1 inside the share, 2 beyond."""
--- a/marllift/interface.py
+++ b/marllift/interface.py
@@ -265,8 +265,16 @@
     on: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Overlap:
+    """Another process of this gateway works beside this one, or no longer: together they are one host."""
+
+    on: bool
+
+
 Event = (
-    Maintenance | NodeList | Request | Started | Outcome | ClientGone | TimerFired | ProbeResult | PeerMessage
+    Maintenance | Overlap | NodeList | Request | Started | Outcome | ClientGone | TimerFired
+    | ProbeResult | PeerMessage
 )
 
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -272,3 +272,24 @@
     before = book.started
     rig.maintain(0, False)
     assert book.started == before, "a call back of what is in use changes nothing"
+
+
+def test_two_processes_of_a_gateway_share_what_is_rationed() -> None:
+    rig = Driver(driver.settings(budget_window_us=0), nodes=0)
+    rig.feed()
+    rig.pass_time(3 * SEC)
+    rig.feed(api.Overlap(True))
+    rig.list_nodes([(0, NodeMode.READY, rig.now)])
+    book = rig.gateway.nodes[driver.node_id(0)]
+    half = rig.gateway._borne(book)[1]
+    rig.feed(api.Overlap(False))
+    assert rig.gateway._borne(book)[1] == half, "what the other has sent counts for a window yet"
+    capped = rig.gateway._volume(api.Request(99, 0, 0, plan=1, volume=5))
+    capped.limit = 0.0
+    rig.pass_time(SEC // 10)
+    rig.feed()
+    rig.gateway._refill(capped)
+    assert capped.limit == 1.0, "half of 20 a second"
+    rig.pass_time(2 * SEC)
+    rig.feed()
+    assert rig.gateway.lives == 1 and rig.gateway._borne(book)[1] > 2 * half
--- a/tests/test_importer.py
+++ b/tests/test_importer.py
@@ -53,7 +53,7 @@
 def test_an_apache_block_becomes_an_operators_file(tmp_path: Path, capsys: Any) -> None:
     code, out, err = run(tmp_path, "httpd.conf", APACHE, capsys, "--host", "covers-2=10.1.0.2")
     assert code == 0
-    operator = read_operator(tomllib.loads(out))
+    operator = read_operator(tomllib.loads(out), {})
     nodes = {
         name.decode(): (line.address, line.node.mode.name, line.node.power)
         for name, line in operator.nodes.items()
@@ -73,7 +73,7 @@
 def test_a_worker_file_becomes_an_operators_file(tmp_path: Path, capsys: Any) -> None:
     code, out, err = run(tmp_path, "workers.properties", JK, capsys)
     assert code == 0
-    operator = read_operator(tomllib.loads(out))
+    operator = read_operator(tomllib.loads(out), {})
     nodes = {
         name.decode(): (line.address, line.node.mode.name, line.node.power)
         for name, line in operator.nodes.items()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
+from typing import Any, cast
+from unittest.mock import Mock
 
 import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol
 
 from gaugesail.core.engine import MOST_IDS
+from gaugesail.handover import Handover, Link
+from gaugesail.rehearsal.memory import MemoryReactor
+from gaugesail.rehearsal.scenario import split
+from gaugesail.rehearsal.worlds import MemoryWorld, rehearse
 from gaugesail.state import State, StateError, StateFile
 from marllift import interface as api
 
@@ -19,7 +26,7 @@
 def test_a_later_process_knows_what_is_in_maintenance_and_whether_it_is_drained(tmp_path: Path) -> None:
     folder, listen = {"TMPDIR": str(tmp_path)}, "daemon http listen=127.0.0.1:9000\n"
     play(listen + OUT + "expect o1 closed\nsend o1 call POST /healthcheck/fail\nexpect o1 200", **folder)
-    assert len(list(tmp_path.iterdir())) == 1, "one file, and nothing beside it"
+    assert len(list(tmp_path.glob("*json*"))) == 1, "one file, and nothing beside it"
     asks = "send c1 get /_health\nexpect c1 503\nexpect c1 closed\n"
     asks += "send c1 request a\nexpect c1 503 refused* within 0.05\n"
     back = "expect o1 closed\nsend o1 call POST /bricks/b1/ready\nexpect o1 200\nwait 0.6\n"
@@ -47,7 +54,7 @@
     play(listen, TMPDIR=str(tmp_path))
     file.write(State(frozenset({b"s-1"}), True))
     assert file.read() == State(frozenset({b"s-1"}), True)
-    assert os.listdir(tmp_path) == [file.path.name]
+    assert [path.name for path in tmp_path.glob("*json*")] == [file.path.name]
 
 
 def test_ids_ever_listed_are_known_and_bounded() -> None:
@@ -55,3 +62,65 @@
     for n in range(MOST_IDS + 10):
         engine.listed(api.NodeList(api.ListKind.CHANGES, (api.Node(b"s-%d" % n, 0, api.NodeMode.GONE),)))
     assert engine.has_seen(b"s-11") and not engine.has_seen(b"s-1") and len(engine._seen) == MOST_IDS
+
+
+REPLACED = "brick b1\nclient c1\nclient c2\nsend c1 get /_health\nexpect c1 200\nsend daemon replace\n"
+
+
+def test_when_the_next_process_dies_the_one_before_accepts_again() -> None:
+    old, new = play(REPLACED + "wait 0.1\nexpect c1 nothing").heads
+    reactor = old._reactor
+    assert not old.front.accepting and new.front.accepting and old.front.moved.on
+    assert old.buffers.limit == new.buffers.limit == old._most_buffers // 2
+    new._port.stopListening()
+    new._handover._links[0].link.abortConnection()
+    reactor.run_until(lambda: False, 4.0)
+    assert old.front.accepting and not old.front.leaving and old.front.connections == 1
+    assert old.buffers.limit == old._most_buffers and len(reactor.ports[old._port.getHost()]) == 1
+
+
+def test_a_next_process_that_dies_before_it_serves_changes_nothing(tmp_path: Path) -> None:
+    world = play("client c1\nsend c1 get /_health\nexpect c1 200\nsend list mute", TMPDIR=str(tmp_path))
+    old = world.head
+    link = Link(Handover(world.reactor, old.clock, old._log, None, ("", 0), old), True)
+    link._handover._asked = Deferred()
+    factory = type("One", (Factory,), {"noisy": False, "buildProtocol": lambda self, addr: link})()
+    world.reactor.connectUNIX(str(tmp_path / "gaugesail-127.0.0.1-0.sock"), factory)
+    assert world.until(lambda: old.buffers.limit < old._most_buffers, 1.0)
+    link.link.abortConnection()
+    world.until(lambda: False, 0.1)
+    assert old.front.accepting and not old.front.leaving and old.buffers.limit == old._most_buffers
+
+
+def test_a_dead_peer_a_silent_one_and_noise_keep_no_process_from_starting(tmp_path: Path) -> None:
+    for peer in (None, Factory.forProtocol(Protocol), Factory.forProtocol(Noise)):
+        world = MemoryWorld(TMPDIR=str(tmp_path))
+        (tmp_path / "gaugesail-127.0.0.1-0.sock").unlink(missing_ok=True)
+        (tmp_path / "gaugesail-127.0.0.1-0.sock").symlink_to("gone.sock")
+        if peer is not None:
+            world.reactor.listenUNIX(str(tmp_path / "gone.sock"), peer)
+        rehearse(split("client c1\nsend c1 get /_health\nexpect c1 200")[""], world)
+        assert (tmp_path / "gaugesail-127.0.0.1-0.sock").readlink().name != "gone.sock"
+
+
+class Noise(Protocol):
+    def connectionMade(self) -> None:
+        cast(Any, self.transport).write(b"{}\n[]\n{\"known\": {}, \"version\": 99}\n\xff\n")
+
+
+def test_a_folder_whose_path_is_too_long_for_a_socket_is_named_another_way(tmp_path: Path) -> None:
+    folder = tmp_path / ("f" * 120)
+    folder.mkdir()
+    handover = Handover(MemoryReactor(), Mock(), Mock(), str(folder), ("127.0.0.1", 9000), Mock())
+    path = Path(handover._path("x.sock"))
+    assert len(str(path)) < 100 and path.parent.samefile(folder)
+
+
+def test_a_process_that_ends_takes_its_name_along_but_not_the_next_ones(tmp_path: Path) -> None:
+    play(REPLACED + "close daemon\nexpect c1 closed\nexpect daemon exit 0\nwait 1", TMPDIR=str(tmp_path))
+    assert (tmp_path / "gaugesail-127.0.0.1-9000.sock").is_symlink()
+    ends = "close daemon\nexpect daemon exit 0\n"
+    both = REPLACED + ends.replace("\n", "\nexpect c1 closed\n", 1) + ends
+    (tmp_path / "gaugesail-127.0.0.1-9000.sock").unlink()
+    play(both, TMPDIR=str(tmp_path))
+    assert not (tmp_path / "gaugesail-127.0.0.1-9000.sock").is_symlink()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -21,7 +21,7 @@
 
 def test_scenarios_pass_against_a_process_on_loopback() -> None:
     done = run("gaugesail.rehearsal", "tests/loopback/served.txt")
-    assert (done.returncode, done.stdout.count(": passed")) == (0, 2), done.stdout + done.stderr
+    assert (done.returncode, done.stdout.count(": passed")) == (0, 3), done.stdout + done.stderr
 
 
 def test_a_scenario_that_fails_names_its_line_and_exits_1(tmp_path: Path) -> None:
