Take new settings on SIGHUP while the head runs, whole or not at all

Settings are one value that the engine, the module (event Retune, books by class and plan name), the front and the pool get in one call; an open request keeps its own (Order.terms). A file that lacks a key of the one in force, or changes its form, is not taken (config.check_shape).

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -6,19 +6,20 @@
 import signal
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import fields, replace
 from typing import Any
 
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.logger import globalLogBeginner
 
-from marllift.interface import NodeList
+from marllift.interface import NodeList, Settings
 
 from . import config as configuration
 from .buffers import BUFFER_BYTES, BufferPool
 from .core.clock import ReactorClock
 from .core.engine import Engine
 from .core.ports import Clock, Logger, Reactor
+from .core.retune import BOTH_US, between
 from .door import MOVED_LAST_US
 from .handover import Handover, Inheritance, adopt
 from .http.bricks import BrickPool
@@ -42,6 +43,11 @@
 BACKLOG = 512
 
 
+LIVE = {  # what may change while the head runs, or is for a start
+    "discovery", "known", "seed", "settings", "conn_idle_us", "connect_timeout_us", "zones", "kinds", "raw",
+}  # fmt: skip
+
+
 class Service:
     """The life of a head on any wire: start, a sweep four times a second, an orderly stop."""
 
@@ -74,6 +80,7 @@
         self._port: Any = None
         self._stopping, self._stop_at, self._able_by = False, 0, 0
         self._superseded = False
+        self._wanted: Settings  # what is in force, or will be when clients have left what was before
         self._sweeps = 0
         self._reported: Counter[str] = Counter()
 
@@ -174,6 +181,18 @@
         """Take what may change while the head runs from its configuration, read again."""
         raise NotImplementedError
 
+    def retune(self, settings: Settings) -> None:
+        """Other settings.  Clients use both for a while: what either forbids is not done until then."""
+        if settings == self._wanted:
+            return
+        self._wanted = settings
+        self._use(between(self.engine.settings, settings))
+        self.clock.call_later(BOTH_US, lambda: self._use(settings) if settings is self._wanted else None)
+
+    def _use(self, settings: Settings) -> None:
+        self.engine.retune(settings)
+        self.front.retune(settings)
+
     def _kept(self, old: Any, new: Any, live: set[str]) -> None:
         """Log which entries of a configuration differ and wait for a restart."""
         names = [item.name for item in fields(old) if getattr(old, item.name) != getattr(new, item.name)]
@@ -255,6 +274,7 @@
         self, reactor: Reactor, config: configuration.Config, log: Logger, clock: Clock | None = None
     ) -> None:
         limits = config.limits
+        self._wanted = config.settings
         clock = clock or ReactorClock(reactor)
         super().__init__(
             reactor, clock, log, config.listen, config.management, limits.memory_mb, config.folder
@@ -311,10 +331,16 @@
         self.transport.limit(limits.node_connections)
 
     def reload(self, config: configuration.Config) -> None:
-        """Discovery may move while the head runs; ``known`` and the seed are for a start."""
-        self._kept(self._config, config, {"discovery", "known", "seed"})
+        """Take the file whole or not at all."""
+        configuration.check_shape(self._config.raw, config.raw)
+        self._kept(self._config, config, LIVE)
+        self._config = replace(config, limits=self._config.limits)
+        self.transport.retune(config.conn_idle_us, config.connect_timeout_us)
+        self.discovery.retune(config.zones, config.kinds)
         self.discovery.move(config.discovery)
-        self._log.info("reloaded", discovery=self.discovery.host)
+        self.retune(config.settings)
+        classes = ",".join(spec.name for spec in config.settings.classes)
+        self._log.info("reloaded", discovery=self.discovery.host, classes=classes)
 
 
 def _twisted_event(log: Logger, event: Any) -> None:
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -72,6 +72,39 @@
     zones: list[str]
     kinds: list[str]
     folder: str | None  # for what the next process of this head is to know
+    raw: dict[str, Any]  # as it was read
+
+
+# What the wire says may be absent; any other key of the file in force must be in the one that replaces it.
+OPTIONAL = {
+    "aim_stretch", "keep_order", "free_resends", "extra_per_request", "look_back_us", "key_quiet_us", "fleet",
+}  # fmt: skip
+
+
+def check_shape(old: Any, new: Any, path: str = "") -> None:
+    """A file that replaces another is whole: it has all that the other has, each in its form.
+
+    Reading fills what is missing with defaults, so that a file with a key lost would pass for a good one.
+    """
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key, value in old.items():
+            if key in new:
+                check_shape(value, new[key], f"{path}{key}.")
+            elif key not in OPTIONAL:
+                raise ConfigError(f"{path}{key}: it is missing")
+    elif isinstance(old, list) and isinstance(new, list):
+        rows = [row for row in old if isinstance(row, dict)]
+        first = rows[0] if rows else {}
+        shared = {key: value for key, value in first.items() if all(key in row for row in rows)}
+        for n, row in enumerate(new if rows else []):
+            check_shape(shared, row, f"{path}{n}.")
+    elif _form(old) != _form(new) and old is not None:
+        raise ConfigError(f"{path.rstrip('.')}: {new!r} stands where {old!r} was")
+
+
+def _form(value: Any) -> str:
+    number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return "number" if number else type(value).__name__
 
 
 def flatten(value: Any, path: str = "") -> list[str]:
@@ -115,6 +148,9 @@
         raise ConfigError("settings: an object is needed")
     try:
         limits, permissions = data.get("limits", {}), settings.get("permissions", {})
+        # Which classes write is told by position, and stays as it was when classes are added or dropped; a
+        # request's method tells it here.
+        domain = {key: value for key, value in settings.get("domain", {}).items() if key != "class_writes"}
         management = data.get("management") or environ.get("BALANCER_MANAGEMENT")
         return Config(
             name=str(data.get("name") or environ.get("BALANCER_NAME", "")),
@@ -127,13 +163,14 @@
                 int(limits.get("sockets", 1024)),
                 MOST_CALLS if management else 0,
             ),
-            settings=parse_settings("\n".join(flatten(settings)).encode()),
+            settings=parse_settings("\n".join(flatten(settings | {"domain": domain})).encode()),
             known=data.get("known") or {"revision": 0, "complete": True, "members": []},
             conn_idle_us=int(permissions.get("conn_idle_us", 15_000_000)),
             connect_timeout_us=int(permissions.get("connect_timeout_us", 250_000)),
             zones=[str(zone) for zone in settings.get("zones", [])],
             kinds=[str(kind) for kind in settings.get("flavors", [])],
             folder=environ.get("TMPDIR") or None,
+            raw=data,
         )
     except (BadList, WireError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(str(error)) from None
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -100,7 +100,7 @@
             return 0
         if len(self._open) >= self._max_open:
             self.counts["refused_at_door"] += 1
-            self._clock.call_later(0, lambda: reply.refused(self.settings.max_hold_off_us))
+            self._clock.call_later(0, lambda: reply.refused(order.terms.max_hold_off_us))
             return 0
         entry = _Open(ticket, order, reply, now + order.timeout_us)
         self._open[ticket] = entry
@@ -110,7 +110,7 @@
         self._feed(
             api.Request(
                 ticket, order.kind, entry.give_up_us, order.shard, order.plan, order.units, order.key,
-                order.volume, order.mounts, order.again,
+                order.volume, order.mounts, order.again, order.terms,
             )
         )  # fmt: skip
         return ticket
@@ -147,6 +147,12 @@
         """What lists have named to the process before this one."""
         self._seen.update((node, None) for node in nodes[-MOST_IDS:])
 
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings for what is taken from now on."""
+        self.settings = settings
+        self._events.append(api.Retune(settings))
+        self._run()
+
     def overlap(self, on: bool) -> None:
         """Another process of this head works beside this one."""
         self._events.append(api.Overlap(on))
@@ -259,12 +265,12 @@
 
     def _send(self, action: api.Send) -> None:
         entry, now = self._open.get(action.request), self._clock.now_us()
-        number = 0 if entry is None else entry.attempts
+        number, most = (0, 0) if entry is None else (entry.attempts, entry.order.terms.max_attempts)
         deadline = 0 if entry is None else entry.give_up_us - GUARD_US
         if entry is not None and action.patience_us:
             deadline = min(deadline, now + action.patience_us)
         # Nothing is sent after the end, past the cap, past the time, or beside an attempt that is out.
-        if entry is None or entry.out is not None or number >= self.settings.max_attempts or deadline <= now:
+        if entry is None or entry.out is not None or number >= most or deadline <= now:
             self.counts["moot_send"] += 1
             if entry is not None and entry.out is None:
                 entry.attempts += 1
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from marllift.interface import NodeId, Result
+from marllift.interface import NodeId, Result, Settings
 
 
 class Call(Protocol):
@@ -36,7 +36,8 @@
     """A client's request as a front hands it over; ``payload`` is for the node transport alone."""
 
     name: str  # the client's id of the request, unique among the open ones
-    kind: int
+    terms: Settings  # what it was taken under, and is served by whatever comes later
+    kind: int  # index of its class there
     timeout_us: int  # from the moment the client sent it
     payload: Any
     shard: int = -1
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -220,8 +220,7 @@
         max_connections: int,
     ) -> None:
         self._reactor, self.clock, self.buffers, self._log = reactor, clock, buffers, log
-        self._idle_us = int(idle_us * IDLE_SHARE)
-        self._connect_s = connect_timeout_us / 1e6
+        self.retune(idle_us, connect_timeout_us)
         self._max = max_connections
         # The protocol says 64 KiB; answers of 400 KB have come, and were good.  A part of the buffers bounds
         # what one may hold, and what claims more ends at its head.
@@ -235,6 +234,10 @@
     def connections(self) -> int:
         return sum(brick.connections for brick in self._bricks.values())
 
+    def retune(self, idle_us: int, connect_timeout_us: int) -> None:
+        self._idle_us = int(idle_us * IDLE_SHARE)
+        self._connect_s = connect_timeout_us / 1e6
+
     def limit(self, connections: int) -> None:
         """How many connections there may be; what is idle beyond that goes."""
         self._max = connections
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -153,7 +153,7 @@
     ) -> None:
         self._reactor, self._clock, self._log = reactor, clock, log
         self._address, self.host = address, f"{address[0]}:{address[1]}"
-        self._zones, self._kinds = zones, kinds
+        self.retune(zones, kinds)
         self._listed, self._tell = listed, tell
         self._version = 0
         self._members: dict[str, Any] = {}  # the list as it stands, in discovery's form
@@ -165,6 +165,9 @@
         self._check: Call | None = None
         self._closed = False
 
+    def retune(self, zones: list[str], kinds: list[str]) -> None:
+        self._zones, self._kinds = zones, kinds
+
     def now(self) -> int:
         return self._clock.now_us()
 
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -98,6 +98,7 @@
             raise BadMessage("there is no such shard")
         return Order(
             name,
+            self._set,
             kind,
             time_us,
             Exchange(head.method, head.target, name, body),
@@ -367,12 +368,15 @@
     ) -> None:
         super().__init__(engine, clock, on_idle)
         self.pool, self._log = pool, log
-        self.reader = OrderReader(settings)
-        self.hold_off_us = settings.max_hold_off_us or 1_000_000
+        self.retune(settings)
         self.limit(max_connections, overflow)
         self._open: OrderedDict[ClientConnection, None] = OrderedDict()
         self._slow: OrderedDict[ClientConnection, int] = OrderedDict()  # bytes that wait to be read
 
+    def retune(self, settings: api.Settings) -> None:
+        self.reader = OrderReader(settings)
+        self.hold_off_us = settings.max_hold_off_us or 1_000_000
+
     def limit(self, connections: int, overflow: int) -> None:
         """How many clients may be here; beside the next process it is half."""
         self._max, self._most = connections, connections + overflow
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -14,12 +14,15 @@
 from ..http.management import MOST_CALLS
 from ..operations import Operations
 from .initiator import NodePool
-from .operator import Operator
+from .operator import Operator, OperatorError
 from .target import TargetFront
 
 MAX_SESSIONS = 64  # of clients; each may have a window of transfers in memory
 
 
+LIVE = {"nodes", "settings", "read_class", "write_class", "units"}
+
+
 class FileDiscovery:
     """The operator's file as the list of nodes: watching it means to hear of a reload."""
 
@@ -51,7 +54,7 @@
             operator.memory_mb,
             operator.folder,
         )
-        self._operator = operator
+        self._operator, self._wanted = operator, operator.settings
         log = self._log
         self.transport = NodePool(
             reactor, self.clock, self.buffers, log, operator.initiator, operator.connect_timeout_us
@@ -90,8 +93,11 @@
         return NodeList(kind, tuple(line.node for line in self._operator.nodes.values()))
 
     def reload(self, operator: Operator) -> None:
-        """Take the nodes of a changed file; all else in it waits for a restart."""
-        self._kept(self._operator, operator, {"nodes"})
-        self._operator = operator
+        """Take nodes, classes, plans, rules and what extents say of them; all else waits for a restart."""
+        if operator.geometry != self._operator.geometry:
+            raise OperatorError("[[lun]]: its size cannot change while the head runs")
+        self._kept(self._operator, operator, LIVE)
+        self._operator = self.front.operator = operator
+        self.retune(operator.settings)
         self._log.info("reloaded", nodes=len(operator.nodes))
         self.engine.listed(self.listing(ListKind.FULL))
--- a/gaugesail/iscsi/operator.py
+++ b/gaugesail/iscsi/operator.py
@@ -79,6 +79,11 @@
     seed: int
     folder: str | None
 
+    @property
+    def geometry(self) -> dict[int, tuple[int, int]]:
+        """What initiators have been told of the logical units."""
+        return {number: (unit.block_size, unit.blocks) for number, unit in self.units.items()}
+
 
 def _table(owner: dict[str, Any], key: str, kind: type, default: Any = None) -> Any:
     value = owner.get(key, default)
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -10,6 +10,8 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from marllift.interface import Settings
+
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order
@@ -363,7 +365,7 @@
             self.check(task, ILLEGAL, BAD_CDB)
             return
         kind = self._front.operator.write_class if task.write else self._front.operator.read_class
-        task.due = task.since + self._front.operator.settings.classes[kind].deadline_us
+        task.due = task.since + self._front.settings.classes[kind].deadline_us
         task.body = Body(self._front.pool)
         if task.write:
             if pdu.data and not self._limits.immediate_data:
@@ -422,6 +424,7 @@
         transfer = Transfer(task.write, lun_number(task.lun), task.lba, blocks, task.length, task.body)
         order = Order(
             front.next_name(),
+            front.settings,
             kind,
             task.due - task.since,
             transfer,
@@ -553,6 +556,7 @@
     ) -> None:
         super().__init__(engine, clock, on_idle)
         self.operator, self.pool, self.log = operator, pool, log
+        self.retune(operator.settings)
         self.address = operator.listen
         self._max = max_connections
         self._open: dict[TargetConnection, None] = {}
@@ -562,6 +566,9 @@
     def connections(self) -> int:
         return len(self._open)
 
+    def retune(self, settings: Settings) -> None:
+        self.settings = settings  # its classes and plans are, in order, those of the operator's file first
+
     def limit(self, connections: int) -> None:
         self._max = connections
 
--- a/gaugesail/rehearsal/defaults.py
+++ b/gaugesail/rehearsal/defaults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import json
 from typing import Any
 
 _CLASSES = [
@@ -30,9 +31,20 @@
     return copy.deepcopy(_SETTINGS)
 
 
-def change(tree: dict[str, Any], path: str, text: str) -> None:
-    """Set one value of nested settings by its dotted path."""
+def change(tree: Any, path: str, text: str) -> None:
+    """Set one value of nested settings by its dotted path.
+
+    One past the end of a list is a copy of its last row; a value that is a list is given as JSON; no text at
+    all takes the value, or the row, away.
+    """
     *way, last = path.split(".")
     for step in way:
+        if isinstance(tree, list) and int(step) == len(tree):
+            tree.append(copy.deepcopy(tree[-1]))
         tree = tree[int(step)] if isinstance(tree, list) else tree.setdefault(step, {})
-    tree[last] = type(tree[last])(float(text)) if isinstance(tree.get(last), (int, float)) else text
+    if not text:
+        del tree[int(last) if isinstance(tree, list) else last]
+    elif isinstance(tree.get(last), list):
+        tree[last] = json.loads(text)
+    else:
+        tree[last] = type(tree[last])(float(text)) if isinstance(tree.get(last), (int, float)) else text
--- a/gaugesail/rehearsal/scenario.py
+++ b/gaugesail/rehearsal/scenario.py
@@ -27,6 +27,7 @@
 
 from __future__ import annotations
 
+import copy
 import shlex
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -123,10 +124,17 @@
 
     def send_reload(self, words: Words) -> None:
         """reload [path=value ...]: its file is replaced and SIGHUP sent; what was changed before stays so"""
+        self.config = copy.deepcopy(self.config)
         for path, value in options(words).items():
             defaults.change(self.config, path, value)
         self._world.change(self.config)
 
+    def send_misreload(self, words: Words) -> None:
+        """misreload path=value ...: as reload, with a file that is not good; the next one is again"""
+        kept = self.config
+        self.send_reload(words)
+        self.config = kept
+
     def send_replace(self, words: Words) -> None:
         """replace: another process is started beside the one that runs, with the same address for clients"""
         self._world.start(self.wire, self.config, self)
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -41,18 +41,16 @@
     """The decisions of one gateway; the same settings, seed and events give the same actions."""
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
-        self.set, self.born, self.now = settings, now, now
+        self.born, self.now = now, now
         self.rng = random.Random(seed)
-        self.classes, self.hold_off = settings.classes, settings.max_hold_off_us * settings.may_hold_off
-        self.target = [spec.aim_us * TARGET for spec in self.classes]
-        self.tick = max(settings.tick_us, min(TICK_US, min(spec.aim_us for spec in self.classes) // TICKS))
-        self.tiers = (1.0, settings.share_worth, settings.spare_worth)
-        self.floor = 1 / settings.gateways  # all hosts at their floor still keep one request out
+        self.places: dict[str, int] = {}  # of each class in the books
+        self.target, self.aims = list[float](), list[float]()  # by place
+        self._settle(settings)
         self.jobs: dict[int, Job] = {}
         self.nodes: dict[api.NodeId, NodeBook] = {}
         self.away: set[api.NodeId] = set()  # in maintenance
-        self.shards: dict[int, Shard] = defaultdict(lambda: Shard(len(self.classes)))
-        self.volumes: dict[tuple[int, int, float], Volume] = {}
+        self.shards: dict[int, Shard] = defaultdict(lambda: Shard(len(self.target)))
+        self.volumes: dict[tuple[int, str, float], Volume] = {}
         self.chains: dict[int, Chain] = {}
         self.taken, self.extras = deque[int](), deque[int]()
         self.acts: list[api.Action] = [api.SetTimer(now + PERIOD_US, BELL_PERIOD)]
@@ -60,11 +58,35 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Outcome: self._outcome, api.Request: self._request, api.TimerFired: self._bell,
             api.NodeList: self._list, api.PeerMessage: self._peer, api.ClientGone: self._gone,
-            api.Maintenance: self._maintain, api.Overlap: self._overlap}  # fmt: skip
+            api.Maintenance: self._maintain, api.Overlap: self._overlap,
+            api.Retune: self._retune}  # fmt: skip
         self.dirty: dict[int, Shard] = {}
         self.ticking, self.watch_fails = False, 0
         self.alone_at = 0.0  # until then another process of this gateway has half of what is rationed
 
+    def _settle(self, settings: api.Settings) -> None:
+        self.set, self.hold_off = settings, settings.max_hold_off_us * settings.may_hold_off
+        self.tick = max(settings.tick_us, min(TICK_US, min(c.aim_us for c in settings.classes) // TICKS))
+        self.tiers = (1.0, settings.share_worth, settings.spare_worth)
+        self.floor = 1 / settings.gateways  # all hosts at their floor still keep one request out
+        self.target, self.aims = list(self.target), [float("inf")] * len(self.aims)  # of those no longer used
+        for spec in settings.classes:
+            place = self.places.setdefault(spec.name, len(self.places))
+            self.target[place:] = [spec.aim_us * TARGET, *self.target[place + 1 :]]
+            self.aims[place:] = [spec.aim_us, *self.aims[place + 1 :]]
+
+    def _retune(self, event: api.Retune) -> None:
+        """Books go by the names of classes and plans; jobs keep what they were taken under."""
+        old = self.target
+        self._settle(event.settings)
+        for node in self.nodes.values():
+            node.widen(old, self.target)
+        for shard in self.shards.values():
+            shard.widen(len(self.target))
+        plans = {plan.name: plan for plan in self.set.plans}
+        for volume in self.volumes.values():
+            volume.plan = plans.get(volume.plan.name, volume.plan)
+
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         """Take in what has happened by now and return what to do, in order."""
         self.now, self.dirty = now, {}
@@ -159,22 +181,24 @@
     # ---- requests ----
 
     def _request(self, event: api.Request) -> None:
-        spec, now = self.classes[event.kind], self.now
+        terms, now = event.terms or self.set, self.now
+        spec = terms.classes[event.kind]
+        kind = self.places[spec.name]
         if event.shard >= 0 and event.shard not in self.shards:
             # No list has named it: it is the client's word alone, and no book is opened on that.
             self.acts.append(api.Refuse(event.request, self.hold_off))
             return
         if self.set.budget_window_us:
             self.taken.append(now)
-        volume = self._volume(event)
+        volume = self._volume(event, terms)
         # A client's repeat has less time than its class, and part of its aim is gone.  Past its aim a request
         # earns next to nothing and delays the rest: there it ends.
         first = min(now, event.give_up_us - spec.deadline_us)
         aim_at = min(first + spec.aim_us, event.give_up_us - 2 * self.tick)
         chain = self.chains.setdefault(event.key, Chain()) if spec.ordered and event.key else None
-        number = self._place_new(event.kind) if (movable := event.shard < 0) else event.shard
-        job = Job(event.request, event.kind, spec, volume, number, movable, event.units,
-                  now, aim_at, event.give_up_us, chain)  # fmt: skip
+        number = self._place_new(kind) if (movable := event.shard < 0) else event.shard
+        job = Job(event.request, kind, spec, volume, number, movable, event.units,
+                  now, aim_at, event.give_up_us, chain, terms.max_attempts)  # fmt: skip
         self.jobs[job.id] = job
         if chain is not None:
             chain.jobs.append(job)
@@ -193,11 +217,11 @@
                 costs.append((queue * node.latency[kind] / power, number))
         return min(costs)[1]
 
-    def _volume(self, event: api.Request) -> Volume:
+    def _volume(self, event: api.Request, terms: api.Settings) -> Volume:
         # A client that names another's volume with a plan or hosts not its own gets a book of its own.
-        name = event.volume, event.plan, event.mounts
+        plan = terms.plans[event.plan]
+        name = event.volume, plan.name, event.mounts
         if (volume := self.volumes.get(name)) is None:
-            plan = self.set.plans[event.plan]
             # An earlier life may have spent this gateway's whole part of the limit: start it empty.
             volume = Volume(plan, event.mounts, self.born, plan.reserve + self.set.most_units, plan.rate, 0.0)
             self.volumes[name] = volume
@@ -248,7 +272,7 @@
         spec, risk = job.spec, job.risky_at
         window = spec.repeat_window_us - self.tick if spec.effect is Effect.KEYED else 0
         harmless = risk is None or spec.effect is Effect.SAFE or self.now < risk + window
-        return harmless and job.attempts < self.set.max_attempts and self.now < job.aim_at
+        return harmless and job.attempts < job.most and self.now < job.aim_at
 
     # ---- outcomes ----
 
@@ -507,7 +531,7 @@
 
     def _split(self, shard: Shard, node: NodeBook) -> None:
         """One slot at a time to the class whose forecast response is furthest over its aim."""
-        node.slots = [0] * len(self.classes)
+        node.slots = [0] * len(self.target)
         for _ in range(max(1, int(node.windows[0]))):
             worst = (-1.0, 0)
             for kind, waiting in enumerate(shard.waiting):
@@ -517,6 +541,6 @@
                     spent = sum(self.now - job.taken for job in waiting) / max(queue, 1)
                     ahead = (max(0.0, queue + rate - served) + shard.last_queue[kind]) / 2
                     delay = ahead / rate * PERIOD_US + spent
-                over = (delay + self.target[kind]) / self.classes[kind].aim_us
+                over = (delay + self.target[kind]) / self.aims[kind]
                 worst = max(worst, (over, -kind))
             node.slots[-worst[1]] += 1
--- a/marllift/interface.py
+++ b/marllift/interface.py
@@ -148,6 +148,9 @@
             raise ValueError("classes: at least one is needed")
         if not self.plans:
             raise ValueError("plans: at least one is needed")
+        for named in (self.classes, self.plans):
+            if len({item.name for item in named}) < len(named):
+                raise ValueError("two classes or plans of one name")
         _require(self, "gateways", 1)
         _require(self, "fall_multiple", 1)
         _require(self, "max_attempts", 1)
@@ -198,6 +201,7 @@
     volume: int = 0
     mounts: float = 1.0  # gateways the volume's requests can come through
     again: bool = False  # marked by the client as a repeat
+    terms: Settings | None = None  # what it was taken under, where that may be older than the latest
 
 
 @dataclass(slots=True, frozen=True)
@@ -272,9 +276,16 @@
     on: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Retune:
+    """Other settings from now on; what is open keeps its own."""
+
+    settings: Settings
+
+
 Event = (
     Maintenance | Overlap | NodeList | Request | Started | Outcome | ClientGone | TimerFired
-    | ProbeResult | PeerMessage
+    | ProbeResult | PeerMessage | Retune
 )
 
 
--- a/marllift/state.py
+++ b/marllift/state.py
@@ -46,6 +46,7 @@
     aim_at: int
     give_up: int
     chain: Chain | None
+    most: int  # attempts, by the settings that it was taken under
     attempts: int = 0
     out: bool = False
     done: bool = False
@@ -91,6 +92,16 @@
         self.base = list(self.latency)
         self.rest = [0] * len(self.windows)
 
+    def widen(self, old: list[float], new: list[float]) -> None:
+        """Classes were added, or their targets moved; what was learnt of the others stays."""
+        more = new[len(self.latency) :]
+        if self.latency == old:  # nothing learnt yet
+            self.latency = self.base = []
+            more = new
+        self.latency, self.base = self.latency + more, self.base + more
+        for row in (self.sums, self.counts, self.slots, self.used):
+            row.extend([0] * (len(new) - len(row)))
+
 
 @dataclass(slots=True, eq=False)
 class Shard:
@@ -106,3 +117,9 @@
     def __post_init__(self) -> None:
         self.waiting = [[] for _ in range(self.count)]
         self.arrivals, self.last_queue = [0] * self.count, [0] * self.count
+
+    def widen(self, count: int) -> None:
+        for _ in range(count - len(self.waiting)):
+            self.waiting.append([])
+            self.arrivals.append(0)
+            self.last_queue.append(0)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -73,7 +73,7 @@
             if isinstance(event, api.Request):
                 self.open[event.request] = self.seen[event.request] = event
                 self.took.append(self.now)
-                if self.given.classes[event.kind].ordered and event.key:
+                if self.spec(event).ordered and event.key:
                     self.order[event.key].append(event.request)
         self.last = self.gateway.handle(self.now, list(events))
         for action in self.last:
@@ -97,6 +97,16 @@
             api.NodeList(kind, tuple(api.Node(node_id(n), n % 8, mode, 0, 0, 1.0, s) for n, mode, s in lines))
         )
 
+    def retune(self, given: api.Settings) -> None:
+        self.given = given
+        self.feed(api.Retune(given))
+
+    @staticmethod
+    def spec(request: api.Request) -> api.RequestClass:
+        """Its class by the settings that it was taken under."""
+        assert request.terms is not None
+        return request.terms.classes[request.kind]
+
     def maintain(self, number: int, on: bool) -> None:
         node = node_id(number)
         if not on and node in self.away and node in self.modes:
@@ -109,7 +119,7 @@
         number = self.next_id
         self.next_id += 1
         limit = self.given.classes[kind].deadline_us if give_up is None else give_up
-        self.feed(api.Request(number, kind, self.now + limit, shard, **more))
+        self.feed(api.Request(number, kind, self.now + limit, shard, terms=self.given, **more))
         return number
 
     def answer(self, key: tuple[int, int], result: Result = Result.SERVED) -> list[api.Action]:
@@ -120,7 +130,7 @@
             self.worked[node].append((sent, request.units))
         if result in MAYBE_RAN and key[0] not in self.risky:
             self.risky[key[0]] = (sent, self.modes[node][2])
-        if result in MAYBE_RUNS and self.given.classes[request.kind].ordered and request.key:
+        if result in MAYBE_RUNS and self.spec(request).ordered and request.key:
             self.rest[request.key] = (self.now + self.given.quiet_us, key[0])
         if final:
             self.finish(key[0])
@@ -156,7 +166,7 @@
     def finish(self, number: int) -> None:
         self.open.pop(number, None)
         request = self.seen[number]
-        if self.given.classes[request.kind].ordered and request.key:
+        if self.spec(request).ordered and request.key:
             queue = self.order[request.key]
             if number in queue:
                 queue.remove(number)
@@ -170,7 +180,7 @@
         elif isinstance(action, (api.Refuse, api.Fail)):
             number = action.request
             assert number in self.open, "rule 1: answered twice, or not ours"
-            spec = self.given.classes[self.seen[number].kind]
+            spec = self.spec(self.seen[number])
             if isinstance(action, api.Refuse) and spec.effect is not Effect.SAFE:
                 risk = number in self.risky or any(k[0] == number for k in self.out)
                 free = spec.effect is Effect.KEYED and spec.group is Group.ALL
@@ -180,7 +190,9 @@
 
     def check_send(self, action: api.Send) -> None:
         number, request = action.request, self.seen[action.request]
-        spec, plan = self.given.classes[request.kind], self.given.plans[request.plan]
+        assert request.terms is not None
+        spec, plan = self.spec(request), request.terms.plans[request.plan]
+        assert self.tries[number] < request.terms.max_attempts, "more attempts than it was taken under"
         assert number in self.open, "rule 1: sent after its end"
         mode, told, shard, started = self.modes[action.node]
         late = self.now > told + self.given.drain_grace_us
@@ -199,7 +211,7 @@
             assert queue[0] == number, "rule 5: out of turn"
             for other, _ in self.out:
                 taken = self.seen[other]
-                ordered = self.given.classes[taken.kind].ordered and taken.key == request.key
+                ordered = self.spec(taken).ordered and taken.key == request.key
                 assert not ordered, "rule 5: an earlier attempt is out"
             until, own = self.rest.get(request.key, (0, number))
             assert self.now >= until or own == number, "rule 5: the key rests"
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -16,6 +16,9 @@
 from marllift.interface import Result
 
 NODE = b"n1"
+SETTINGS = api.Settings(
+    (api.RequestClass("read", 500_000, 3_000_000),), (api.Plan("basic"),), max_attempts=2
+)
 
 
 class Rig:
@@ -29,11 +32,8 @@
         self.events: list[api.Event] = []
         self.answers: list[tuple[str, Any]] = []
         self.script: dict[type, list[api.Action]] = {}
-        settings = api.Settings(
-            (api.RequestClass("read", 500_000, 3_000_000),), (api.Plan("basic"),), max_attempts=2
-        )
         transport: Any = self
-        self.engine = Engine(settings, 1, self.clock, transport, transport, make_logger(io.StringIO()), 4)
+        self.engine = Engine(SETTINGS, 1, self.clock, transport, transport, make_logger(io.StringIO()), 4)
         gateway: Any = self
         self.engine._gateway = gateway
         self.engine.start(api.NodeList(api.ListKind.CACHED, (api.Node(NODE, 0),)))
@@ -62,7 +62,7 @@
 
     def take(self, *actions: api.Action, name: str = "a") -> int:
         self.script[api.Request] = list(actions)
-        ticket = self.engine.take(Order(name, 0, 1_000_000, "payload"), self)
+        ticket = self.engine.take(Order(name, SETTINGS, 0, 1_000_000, "payload"), self)
         self.reactor.advance(0)
         return ticket
 
@@ -169,7 +169,7 @@
     seen: list[int] = []
     rig.handle = lambda now, events: (seen.append(len(events)), [])[1]  # type: ignore[method-assign, func-returns-value]
     for n in range(3):
-        rig.engine.take(Order(str(n), 0, 1_000_000, None), rig)
+        rig.engine.take(Order(str(n), SETTINGS, 0, 1_000_000, None), rig)
     rig.reactor.advance(0)
     assert seen == [3] and len(rig.events) == before
 
@@ -178,6 +178,6 @@
 def test_a_request_without_time_is_answered_and_not_sent(left: int) -> None:
     rig = Rig()
     rig.script[api.Request] = [api.Send(1, NODE)]
-    rig.engine.take(Order("a", 0, left, None), rig)
+    rig.engine.take(Order("a", SETTINGS, 0, left, None), rig)
     rig.reactor.advance(0.01)
     assert not rig.sent and rig.answers == [("failed", "out of time")]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -215,7 +215,7 @@
 def test_a_volume_named_with_another_plan_or_other_hosts_is_another_book() -> None:
     rig = Driver(driver.settings(fall_us=0))
     rig.ask(volume=7, plan=0, mounts=2.0)
-    book = rig.gateway.volumes[7, 0, 2.0]
+    book = rig.gateway.volumes[7, "small", 2.0]
     left = book.reserve, book.share, book.plan, book.mounts
     for _ in range(20):
         rig.ask(volume=7, plan=1, mounts=2.0, units=6.0)
@@ -284,7 +284,7 @@
     half = rig.gateway._borne(book)[1]
     rig.feed(api.Overlap(False))
     assert rig.gateway._borne(book)[1] == half, "what the other has sent counts for a window yet"
-    capped = rig.gateway._volume(api.Request(99, 0, 0, plan=1, volume=5))
+    capped = rig.gateway._volume(api.Request(99, 0, 0, plan=1, volume=5), rig.gateway.set)
     capped.limit = 0.0
     rig.pass_time(SEC // 10)
     rig.feed()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -170,7 +170,7 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(data))
     read = config.load({"BALANCER_CONFIG": str(path)})
-    assert read.seed == 0x8C1F30D27A5BE964 and read.settings.classes[1].writes
+    assert read.seed == 0x8C1F30D27A5BE964 and read.settings.classes[1].name == "write"
     for sockets in (64, 128, 1024):
         limits = config.Limits(192, sockets)
         parts = limits.client_connections + limits.client_overflow + limits.node_connections
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 from typing import Any, cast
 from unittest.mock import Mock
@@ -10,7 +11,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
+from gaugesail import config
 from gaugesail.core.engine import MOST_IDS
+from gaugesail.core.retune import between
 from gaugesail.handover import Handover, Link
 from gaugesail.rehearsal.memory import MemoryReactor
 from gaugesail.rehearsal.scenario import split
@@ -124,3 +127,48 @@
     (tmp_path / "gaugesail-127.0.0.1-9000.sock").unlink()
     play(both, TMPDIR=str(tmp_path))
     assert not (tmp_path / "gaugesail-127.0.0.1-9000.sock").is_symlink()
+
+
+def test_a_broken_file_is_not_taken_and_a_start_without_some_keys_is(tmp_path: Path) -> None:
+    head = play("brick b1\nclient c1\nsend c1 get /_health\nexpect c1 200").head
+    file, good, wanted = tmp_path / "config.json", json.dumps(head._config.raw), head._wanted
+    noise = good.replace('"read"', '"reads"')
+    reads = noise.replace('"worth"', '"gain"')
+    renamed = noise.replace('"give_up_us"', '"give_up"', 1)
+    for text in ("", "{", "[]", "null", noise[: len(noise) // 2], renamed):
+        file.write_text(text)
+        head.hang_up(lambda: config.load({"BALANCER_CONFIG": str(file)}))
+        assert head.engine.settings is wanted and "level=error event=bad_configuration" in last_line(head)
+    file.write_text(reads)
+    head.hang_up(lambda: config.load({"BALANCER_CONFIG": str(file)}))
+    assert head.engine.settings.classes[0].name == "reads" and "event=reloaded" in last_line(head)
+
+
+def last_line(head: Any) -> str:
+    text: str = head._log._log._logger._file.getvalue()
+    return text.splitlines()[-1]
+
+
+def test_what_is_optional_may_go_and_what_is_there_keeps_its_form() -> None:
+    old = {"a": {"keep_order": True, "b": 1}, "rows": [{"x": 1, "y": 2}, {"x": 1}], "n": None, "s": "t"}
+    config.check_shape(old, {"a": {"b": 2.5}, "rows": [{"x": 2}], "n": 3, "s": "", "more": 1})
+    config.check_shape(old, {"a": {"b": 2}, "rows": [], "n": None, "s": "u"})
+    bad: list[dict[str, Any]] = [
+        {"a": {}}, {"a": []}, {"rows": [{"y": 1}]}, {"rows": {}}, {"s": 5}, {"a": {"b": True}},
+    ]  # fmt: skip
+    for change in bad:
+        with pytest.raises(config.ConfigError):
+            config.check_shape(old, old | change)
+
+
+def test_between_two_settings_the_stricter_holds() -> None:
+    read, write = api.RequestClass("read", 5, 50), api.RequestClass("write", 5, 50, effect=api.Effect.UNSAFE)
+    old = api.Settings((read, write), (api.Plan("a"), api.Plan("b")), max_attempts=4)
+    changed = api.RequestClass("write", 9, 20, effect=api.Effect.KEYED, group=api.Group.SHARD)
+    new = api.Settings((changed, api.RequestClass("seal", 1, 2)), (api.Plan("b", 7.0),), max_attempts=2)
+    both = between(old, new)
+    assert [spec.name for spec in both.classes] == ["write", "seal", "read"]
+    assert both.classes[0] == api.RequestClass(
+        "write", 9, 50, effect=api.Effect.UNSAFE, group=api.Group.SHARD
+    )
+    assert both.plans == (api.Plan("b", 7.0), api.Plan("a")) and both.max_attempts == 2
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -26,6 +28,7 @@
     st.tuples(st.just("list"), st.integers(0, 2), st.sampled_from(list(NodeMode)), st.booleans()),
     st.tuples(st.just("whole"), st.sets(st.integers(0, 2))),
     st.tuples(st.just("maintain"), st.integers(0, 2), st.booleans()),
+    st.tuples(st.just("retune"), st.integers(0, 2), st.integers(1, 4)),
     st.tuples(st.just("failed")),
     st.tuples(st.just("stale")),
     st.tuples(st.just("restart")),
@@ -43,7 +46,7 @@
     for step in steps:
         match step:
             case ("ask", kind, shard, key, plan, units, tenths):
-                rig.ask(kind, shard, site.classes[kind].deadline_us * tenths // 8, key=key, plan=plan,
+                rig.ask(kind, shard, rig.given.classes[kind].deadline_us * tenths // 8, key=key, plan=plan,
                         units=float(units), volume=plan * 4 + key, mounts=2.0)  # fmt: skip
             case ("answer", which, result) if rig.out:
                 rig.answer(list(rig.out)[which % len(rig.out)], result)
@@ -60,6 +63,11 @@
                      sorted(numbers)], api.ListKind.FULL)  # fmt: skip
             case ("maintain", number, on):
                 rig.maintain(number, on)
+            case ("retune", first, most):
+                # Classes change places, effects and times; one is dropped and another added.
+                specs = site.classes[first:] + site.classes[:first]
+                more = replace(specs[2], name=f"new{most}", effect=api.Effect.SAFE, aim_us=90_000 * most)
+                rig.retune(replace(site, classes=(*specs[:2], more), max_attempts=most))
             case ("failed",):
                 rig.feed(api.NodeList(api.ListKind.FAILED))
             case ("stale",):
