Learn how long brick connections may be idle, and forgive a node its first broken one

bricks.IdleBook learns the lengths after which too many are reset at once; the module counts the first break in a row as half a miss without a pause. Ruled out: early cancels of silent attempts (a heavy request would run twice) and a shorter stall rule (bricks stand still for up to 250 ms).

Tests: the book, a scenario with connections that break after 0.3 s, the node's second break.

--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -24,6 +24,7 @@
 MAX_INTERIM = 8  # 1xx answers before the real one
 STALL_US = 500_000  # without a byte of an answer that has begun: it never will be whole
 STREAM_STALL_US = 5_000_000  # the same of one that is being passed on, while its client reads
+STALE_US = 20_000  # a request that is reset so soon met a connection that was closed before
 PROBE_US = 250_000
 READ_BYTES = 16 * 1024  # at once, and unwritten before a source is paused
 
@@ -178,6 +179,38 @@
         return len(self.idle) + len(self.busy) + len(self.dials)
 
 
+class IdleBook:
+    """How often a connection used again is reset at once, by how long it had been idle.
+
+    Bricks close idle connections long before the time that the settings give, and not always so that we see
+    it.  A length after which too many were reset is not used, nor is any longer one, until that is forgotten.
+    """
+
+    FIRST_US, LENGTHS = 10_000, 12  # the first is up to 10 ms, each next one twice as long
+    TRUST, MOST = 10.0, 0.12  # good ones that each length starts with, and the share of bad ones it may have
+    FADE = 0.97  # a sweep, so that half is forgotten in 6 s
+
+    def __init__(self) -> None:
+        self.used, self.reset = [0.0] * self.LENGTHS, [0.0] * self.LENGTHS
+
+    def ended(self, idle_us: int, stale: bool) -> None:
+        place = min((idle_us // self.FIRST_US).bit_length(), self.LENGTHS - 1)
+        self.used[place] += 1
+        self.reset[place] += stale
+
+    def most_us(self) -> int:
+        """The longest time that a connection may have been idle and still be used."""
+        for place, (used, reset) in enumerate(zip(self.used, self.reset, strict=True)):
+            # The shortest is always used: what is reset even there is not reset for having been idle.
+            if place and reset / (used + self.TRUST) > self.MOST:
+                return self.FIRST_US << (place - 1)
+        return 1 << 62
+
+    def fade(self) -> None:
+        self.used = [used * self.FADE for used in self.used]
+        self.reset = [reset * self.FADE for reset in self.reset]
+
+
 class BrickConnection(Connection):
     """One connection to a brick.  What arrives without a request out, or after its end, closes it."""
 
@@ -193,6 +226,8 @@
         self._written = self._paused = self.lost = False
         self._interim = 0
         self._heard_us = 0  # when the latest byte of the answer came
+        self._started_us = self._idled_us = 0  # when it was last taken, and how long it was idle before
+        self._used = False
         self.idle_since = self.rested_at = 0
 
     def connectionMade(self) -> None:
@@ -216,6 +251,7 @@
         """The end of a large request: from here on it is an attempt."""
         self.link.unregisterProducer()
         self._take(job)
+        self._idled_us = 0
         self.link.write(end)
         self._watch()
 
@@ -226,6 +262,8 @@
 
     def _take(self, job: _Job) -> None:
         self._job, self._written, self._interim, self._heard_us = job, False, 0, 0
+        self._started_us = self._pool.clock.now_us()
+        self._idled_us = self._started_us - self.idle_since
         if job.attempt is not None:
             job.attempt.connection = self
 
@@ -343,6 +381,9 @@
             answer = body.read()
             body.release()
         self.resume()
+        if self._used:
+            self._pool.idle_book.ended(self._idled_us, False)
+        self._used = True
         # With more behind the answer than belongs to it, the connection is never used again.
         if head.keep_alive and self._parser.between and not self.lost:
             self._pool.freed(self)
@@ -381,6 +422,9 @@
         self._pool.ended(self)
         if sink is not None:
             sink.broke()
+        if job is not None and self._used and not self._heard_us:
+            stale = self._pool.clock.now_us() - self._started_us < STALE_US
+            self._pool.idle_book.ended(self._idled_us, stale)
         if job is not None:
             self._pool.finish(job, Result.RESET if self._written else Result.NO_CONNECTION)
 
@@ -426,6 +470,7 @@
         self._bricks: dict[NodeId, _Brick] = {}
         self._away: set[NodeId] = set()  # in maintenance
         self._closing = False
+        self.idle_book = IdleBook()
 
     @property
     def connections(self) -> int:
@@ -571,8 +616,9 @@
 
     def _rested(self, brick: _Brick, now: int) -> BrickConnection | None:
         """The connection used last of those that are good and have rested."""
+        most = min(self._idle_us, self.idle_book.most_us())
         for connection in reversed(list(brick.idle)):
-            if connection.epoch != brick.epoch or now - connection.idle_since >= self._idle_us:
+            if connection.epoch != brick.epoch or now - connection.idle_since >= most:
                 connection.abort()
             elif connection.rested_at <= now:
                 brick.idle.remove(connection)
@@ -696,6 +742,7 @@
     def sweep(self) -> None:
         """Retire what has been idle for long, end answers that stall, and forget bricks that are gone."""
         now = self.clock.now_us()
+        self.idle_book.fade()
         for node, brick in list(self._bricks.items()):
             for connection in [busy for busy in brick.busy if busy.stalled(now)]:
                 connection.give_up()
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -230,12 +230,7 @@
         return volume
 
     def _refill(self, volume: Volume) -> None:
-        plan, span, volume.at = volume.plan, (self.now - volume.at) / 1e6, self.now
-        mine = span / volume.mounts**0.5  # between the even part, as use is uneven, and the whole
-        volume.reserve = min(plan.reserve + self.set.most_units, volume.reserve + plan.reserve * mine)
-        volume.share = min(plan.rate * 2, volume.share + plan.rate * 2 * mine)
-        fill = span * plan.limit / volume.mounts / self.lives
-        volume.limit = min(plan.limit_burst / volume.mounts, volume.limit + fill)
+        volume.refill(self.now, self.set.most_units, self.lives)
 
     def _wait(self, job: Job) -> None:
         self.shards[job.shard].waiting[job.kind].append(job)
@@ -296,8 +291,10 @@
         elif result in RISKY and job.sent_at < node.lived:
             pass  # the node served what was sent later: this one was lost by itself, say with its connection
         elif result not in (Result.MOOT, Result.CANCELLED):
-            node.misses += 1
-            if result is not Result.ERROR:
+            # A connection that broke is mostly the connection's fault, a second one in a row the node's.
+            broke = result is Result.RESET and not node.misses
+            node.misses += 0.5 if broke else 1
+            if result is not Result.ERROR and not broke:
                 # It may still hold what timed out: a pause, so that its queue drains.  Hurts after bad luck.
                 pause = min(self.target) * BACKOFF * 2 ** min(node.misses, 6) * (0.5 + self.rng.random())
                 node.next_at = max(node.next_at, self.now + int(pause))
@@ -340,7 +337,7 @@
         # only another shows that the node is back.  Hurts after a very heavy request.
         stuck = [job for job in node.out.values() if self.now - job.sent_at > STUCK * self.target[job.kind]]
         hangs = any(job.sent_at >= node.lived for job in stuck)  # else it served what was sent later
-        most = 1 if hangs or node.misses else max(1, int(node.windows[tier]))
+        most = 1 if hangs or node.misses >= 1 else max(1, int(node.windows[tier]))
         return len(node.out) - len(stuck) < most and self.now >= max(node.next_at, node.rest[tier])
 
     def _borne(self, node: NodeBook) -> tuple[float, float]:
--- a/marllift/state.py
+++ b/marllift/state.py
@@ -20,6 +20,15 @@
     limit: float
     jobs: int = 0
 
+    def refill(self, now: int, most_units: float, lives: int) -> None:
+        """What has come into its stores since; beside another process of the gateway half of a limit's."""
+        plan, span, self.at = self.plan, (now - self.at) / 1e6, now
+        mine = span / self.mounts**0.5  # between the even part, as use is uneven, and the whole
+        self.reserve = min(plan.reserve + most_units, self.reserve + plan.reserve * mine)
+        self.share = min(plan.rate * 2, self.share + plan.rate * 2 * mine)
+        fill = span * plan.limit / self.mounts / lives
+        self.limit = min(plan.limit_burst / self.mounts, self.limit + fill)
+
 
 @dataclass(slots=True, eq=False)
 class Chain:
@@ -76,7 +85,7 @@
     used: list[int] = field(default_factory=list)
     out: dict[tuple[int, int], Job] = field(default_factory=dict)
     peak: int = 0
-    misses: int = 0
+    misses: float = 0.0
     lived: int = 0  # when the latest of what it has served was sent
     next_at: int = 0
     part: float = 0.0
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -293,3 +293,17 @@
     rig.pass_time(2 * SEC)
     rig.feed()
     assert rig.gateway.lives == 1 and rig.gateway._borne(book)[1] > 2 * half
+
+
+def test_a_first_broken_connection_is_its_own_fault_and_a_second_one_the_nodes() -> None:
+    rig = Driver(driver.settings(budget_window_us=0, fall_us=0))
+    book = rig.gateway.nodes[driver.node_id(0)]
+    for _ in range(3):
+        rig.ask()
+    first, second, third = rig.out
+    rig.answer(first, Result.RESET)
+    assert book.next_at <= rig.now and rig.gateway._room(book, 0), "no pause, no single trials"
+    rig.answer(second, Result.RESET)
+    assert book.next_at > rig.now and not rig.gateway._room(book, 0)
+    rig.answer(third)
+    assert not book.misses
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -16,7 +16,7 @@
 
 from gaugesail import config
 from gaugesail.buffers import Body, BufferPool, PoolEmpty
-from gaugesail.http.bricks import BrickConnection
+from gaugesail.http.bricks import BrickConnection, IdleBook
 from gaugesail.http.discovery import BadList, read_list, split_address
 from gaugesail.http.parser import BadMessage, Data, End, Head, Parser
 from gaugesail.net import bound_accepts
@@ -244,3 +244,31 @@
         for _ in range(2000):
             parser.feed(b"X-Pad: pppppppppp\r\n")
             list(parser.parts())
+
+
+def test_connections_idle_for_as_long_as_those_that_were_reset_are_not_used() -> None:
+    book = IdleBook()
+    for _ in range(50):
+        book.ended(30_000, False)
+    for _ in range(4):
+        book.ended(300_000, True)
+    assert book.most_us() == 160_000, "4 of 14 are too many"
+    book.ended(5_000, True)
+    assert book.most_us() == 160_000
+    for _ in range(200):
+        book.fade()
+    assert book.most_us() > 15_000_000, "it is forgotten"
+    for _ in range(9):
+        book.ended(2_000, True)
+    assert book.most_us() > 15_000_000, "what is reset at once is not reset for having been idle"
+
+
+def test_a_brick_that_closes_early_and_unseen_soon_gets_fresh_connections() -> None:
+    text = "brick b1\nclient c1\n"
+    for n in range(5):  # the second use of each connection, after 0.3 s, breaks it
+        for name in ("a", "b"):
+            text += f"send c1 request {name}{n}\nexpect b1 request {name}{n}\n"
+            text += f"close b1 b{n}\nexpect b1 request b{n} within 0.02\n" if name == "b" else ""
+            text += f"send b1 answer {name}{n} 200 x\nexpect c1 200\nwait 0.3\n"
+    pool = play(text).head.transport
+    assert pool.idle_book.most_us() == 160_000
