--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -29,7 +29,7 @@
 from .logs import LimitedLogger
 from .net import accept_pending, bound_accepts
 from .operations import Operations
-from .state import State, StateFile
+from .state import Call, StateFile
 
 ACCEPT_US = 450_000  # after SIGTERM: new connections come for up to 0.4 s
 LAST_ACCEPT_US = 1_500_000  # and later where they had to wait for a place
@@ -165,8 +165,8 @@
             self.front.supersede(on)
         self._log.info("superseded" if on else "superseded_no_more", clients=self.front.connections)
 
-    def follow(self, state: State) -> None:
-        self.operations.follow(state)
+    def follow(self, call: Call) -> None:
+        self.operations.follow(call)
 
     # ---- a new configuration ----
 
--- a/gaugesail/handover.py
+++ b/gaugesail/handover.py
@@ -21,9 +21,10 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from .core.ports import Call, Clock, Logger
+from .core import ports
+from .core.ports import Clock, Logger
 from .net import Connection
-from .state import State
+from .state import Call
 
 VERSION = 1
 SILENT_US = 4_000_000  # how long the running process may take to hand over
@@ -45,7 +46,7 @@
     def bequeath(self) -> tuple[int, dict[str, Any]] | None: ...
     def beside(self, on: bool) -> None: ...
     def superseded(self, on: bool) -> None: ...
-    def follow(self, state: State) -> None: ...
+    def follow(self, call: Call) -> None: ...
 
 
 @implementer(IFileDescriptorReceiver)
@@ -121,7 +122,7 @@
         self._port: Any = None
         self._links: list[Link] = []
         self._asked: Deferred[Inheritance | None] | None = None
-        self._late: Call | None = None
+        self._late: ports.Call | None = None
         self._closed = False
 
     def _path(self, name: str) -> str:
@@ -184,10 +185,11 @@
 
     # ---- both ----
 
-    def tell(self, state: State) -> None:
-        """Tell the other process what operators have asked of this one."""
+    def tell(self, call: Call) -> None:
+        """Tell the other process what an operator has asked of this one."""
+        node = call.node.decode(errors="replace") if call.node is not None else None
         for link in self._links:
-            link.say(away=sorted(name.decode(errors="replace") for name in state.away), drained=state.drained)
+            link.say(node=node, on=call.on)
 
     def linked(self, link: Link) -> None:
         if link.heir:
@@ -217,9 +219,9 @@
         elif "serving" in said:
             link.serves = True
             self._owner.superseded(True)
-        elif "away" in said:
-            away = frozenset(str(name).encode() for name in said["away"])
-            self._owner.follow(State(away, said["drained"] is True))
+        elif "node" in said:
+            node = said["node"]
+            self._owner.follow(Call(str(node).encode() if node is not None else None, said["on"] is True))
 
     def unlinked(self, link: Link) -> None:
         if link not in self._links:
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -24,7 +24,7 @@
 HEALTH_PATH = "/_health"
 METHODS = ("GET", "PUT")
 HEAD_US = 2_500_000  # how long a head may take to arrive, and a new connection to send its first
-BODY_US, BODY_RATE = 2_500_000, 16 * 1024  # a body: so long, and a second more for so many bytes
+BODY_US, BODY_RATE = 2_500_000, 16 * 1024  # a body: so long after a byte, and a second more for so many
 UNREAD_US = 60_000_000  # a client that has read nothing for so long has gone
 SLOW_US = 5_000_000  # and after this long it may be cut off where memory is short
 RESTED_US = 2_000_000  # an idle connection may be closed for another after this long
@@ -168,6 +168,7 @@
         self._paused_at = 0
         self._since = 0  # when the part of a request that is now arriving began, or came to its turn
         self._got = 0  # bytes of its body
+        self._heard = 0  # when the latest byte came
         self._marks: deque[tuple[int, int]] = deque()  # how much had come, and when
         self._stuck_since = 0  # when the client stopped reading, or we began to close
         self.lost = False
@@ -209,7 +210,7 @@
             if self._discarded > MAX_DISCARDED and not self._paused and not self.lost:
                 self._pause(True)
             return
-        now = self._front.clock.now_us()
+        now = self._heard = self._front.clock.now_us()
         if self._parser.between:
             self._since = now
         self._parser.feed(data)
@@ -231,6 +232,7 @@
             self._paused_at = now
         else:
             self._since += now - self._paused_at  # what we make a client wait is not its time
+            self._heard = now
         self._paused = on
         (self.link.pauseProducing if on else self.link.resumeProducing)()
 
@@ -494,7 +496,8 @@
     def _due(self) -> int:
         """Until when more of the request that is arriving must come."""
         if self._head is not None:
-            return self._since + BODY_US + self._got * 1_000_000 // BODY_RATE
+            # Slowly is well, and so is a pause; silence is not.
+            return min(self._heard, self._since + self._got * 1_000_000 // BODY_RATE) + BODY_US
         # A first request that trickles in is owed its error by the time that a silent one is.
         return (self._since if self.asked else self.opened_at) + HEAD_US
 
--- a/gaugesail/http/management.py
+++ b/gaugesail/http/management.py
@@ -11,6 +11,7 @@
 
 from ..core.ports import Clock, Logger
 from ..net import Connection
+from ..operations import NotYet
 from .parser import BadMessage, Data, Head, Parser
 
 MOST_CALLS = 16  # connections at once; their descriptors are kept out of the clients' part
@@ -59,7 +60,9 @@
                     self._answer(*self._front.call(self._head.method, self._head.target))
                     return
         except BadMessage as error:
-            self._answer(error.status, str(error))
+            self._answer(error.status if error.status < 500 else 400, str(error))
+        except NotYet as error:
+            self._answer(503, str(error))
         except OSError as error:  # what cannot be kept for the next process is not done
             self._front.log.error("state_not_written", error=repr(error))
             self._answer(503, "cannot write it down")
@@ -79,8 +82,8 @@
 
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-    503: "Service Unavailable", 505: "HTTP Version Not Supported",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    503: "Service Unavailable",
 }  # fmt: skip
 
 
--- a/gaugesail/operations.py
+++ b/gaugesail/operations.py
@@ -9,58 +9,78 @@
 
 from .core.engine import Engine
 from .core.ports import Logger
-from .state import State, StateError, StateFile
+from .state import Call, State, StateError, StateFile
+
+
+class NotYet(Exception):
+    """The process does not know yet what was asked of the one before it."""
 
 
 class Operations:
-    """Carries out what is asked, and keeps it for the next process before it says yes."""
+    """Carries out what is asked, and keeps it for the next process before it says yes.
+
+    A process beside this one is told each call by itself: two calls may be made at once, one at either.
+    """
 
     def __init__(
-        self, engine: Engine, front: Any, file: StateFile, tell: Callable[[State], None], log: Logger
+        self, engine: Engine, front: Any, file: StateFile, tell: Callable[[Call], None], log: Logger
     ) -> None:
         self._engine, self._front, self._file, self._tell, self._log = engine, front, file, tell, log
         self.stopping = False
+        self._ready = False
 
     @property
     def serving(self) -> bool:
         return bool(self._front.serving) and not self.stopping
 
-    @property
-    def state(self) -> State:
-        return State(frozenset(self._engine.away), self._front.drain.on)
-
     def restore(self) -> None:
         """Take up what was asked of an earlier process; before the module hears its first list."""
         try:
-            self.follow(self._file.read())
+            state = self._file.read()
+            for node in state.away:
+                self._carry_out(Call(node, True))
+            if state.drained:
+                self._carry_out(Call(None, True))
         except StateError as error:
             self._log.error("state_unreadable", error=str(error))
+        self._ready = True
+
+    def _carry_out(self, call: Call) -> None:
+        if call.node is None:
+            if call.on != self._front.drain.on:
+                self._front.drain.set(call.on)
+                self._log.info("drained" if call.on else "taking_clients")
+        elif call.on != (call.node in self._engine.away):
+            self._engine.maintain(call.node, call.on)
+            event = "maintenance_begins" if call.on else "maintenance_ends"
+            self._log.info(event, node=call.node.decode(errors="replace"))
+
+    def _state(self, call: Call) -> State:
+        """What is asked for once this call is carried out too."""
+        away, drained = frozenset(self._engine.away), self._front.drain.on
+        if call.node is None:
+            return State(away, call.on)
+        return State(away | {call.node} if call.on else away - {call.node}, drained)
+
+    def _ask(self, call: Call) -> None:
+        if not self._ready:
+            raise NotYet("not serving yet")
+        self._file.write(self._state(call))  # first: what cannot be kept is not begun, and told no
+        self._tell(call)
+        self._carry_out(call)
 
-    def follow(self, state: State) -> None:
-        """Be in this state from now on, whoever was told so."""
-        for node in state.away - self._engine.away:
-            self._engine.maintain(node, True)
-            self._log.info("maintenance_begins", node=node.decode(errors="replace"))
-        for node in self._engine.away - state.away:
-            self._engine.maintain(node, False)
-            self._log.info("maintenance_ends", node=node.decode(errors="replace"))
-        if state.drained != self._front.drain.on:
-            self._front.drain.set(state.drained)
-            self._log.info("drained" if state.drained else "taking_clients")
-
-    def _ask(self, state: State) -> None:
-        if state != self.state:
-            self._file.write(state)  # first: what cannot be kept is not begun, and the caller is told no
-            self._tell(state)  # a process beside this one is bound by the same yes
-            self.follow(state)
+    def follow(self, call: Call) -> None:
+        """A process beside this one was called: that binds this one too."""
+        if self._ready:
+            self._carry_out(call)
+            self._file.write(self._state(call))  # the other has not kept what was just asked of this one
 
     def drain(self, on: bool) -> None:
-        self._ask(State(self.state.away, on))
+        self._ask(Call(None, on))
 
     def maintain(self, node: NodeId, on: bool) -> bool:
         """False for an id that no list has ever named."""
-        if not self._engine.has_seen(node):
+        if self._ready and not self._engine.has_seen(node):
             return False
-        away = self.state.away | {node} if on else self.state.away - {node}
-        self._ask(State(away, self.state.drained))
+        self._ask(Call(node, on))
         return True
--- a/gaugesail/state.py
+++ b/gaugesail/state.py
@@ -24,6 +24,14 @@
     drained: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Call:
+    """One thing asked: a node out of use or back, or, without a node, clients sent away or taken."""
+
+    node: NodeId | None
+    on: bool
+
+
 class StateFile:
     """One file for each head, in the folder that its processes share; without a folder nothing is kept."""
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -15,6 +15,7 @@
 from gaugesail.core.engine import MOST_IDS
 from gaugesail.core.retune import between
 from gaugesail.handover import Handover, Link
+from gaugesail.operations import NotYet, Operations
 from gaugesail.rehearsal.memory import MemoryReactor
 from gaugesail.rehearsal.scenario import split
 from gaugesail.rehearsal.worlds import MemoryWorld, rehearse
@@ -172,3 +173,24 @@
         "write", 9, 50, effect=api.Effect.UNSAFE, group=api.Group.SHARD
     )
     assert both.plans == (api.Plan("b", 7.0), api.Plan("a")) and both.max_attempts == 2
+
+
+def test_calls_at_both_processes_at_once_bind_both_and_are_kept(tmp_path: Path) -> None:
+    text = "brick b2 shard=1\n" + REPLACED + "wait 0.1\nexpect c1 nothing"
+    old, new = play(text, TMPDIR=str(tmp_path)).heads
+    assert old.operations.maintain(b"b1", True) and new.operations.maintain(b"b2", True)
+    old._reactor.run_until(lambda: False, 0.1)
+    assert old.engine.away == new.engine.away == {b"b1", b"b2"}
+    assert StateFile(str(tmp_path), ("127.0.0.1", 9000)).read().away == {b"b1", b"b2"}
+    new.operations.maintain(b"b1", False)
+    old._reactor.run_until(lambda: False, 0.1)
+    assert old.engine.away == new.engine.away == {b"b2"}
+
+
+def test_before_it_knows_what_was_asked_a_process_takes_no_call(tmp_path: Path) -> None:
+    engine, front = Mock(away=set()), Mock()
+    operations = Operations(engine, front, StateFile(str(tmp_path), ("", 1)), Mock(), Mock())
+    for call in (lambda: operations.drain(True), lambda: operations.maintain(b"b1", True)):
+        with pytest.raises(NotYet):
+            call()
+    assert not list(tmp_path.iterdir()) and not engine.mock_calls
