Give the next process the client places that the old one does not hold

The old process held 222 connections, mostly of the flood, while the new one had half of the places (app.py, beside): 98 of 240, filled at once by the flood, so that usual clients waited to be accepted. Ruled out: resets (the queue is shared), the old one's exit.

The old process tells how many clients it still has, the next one takes the rest (front.py, limit_beside); where more are here than its part, the old one closes at once what has said nothing, or asked once and rested (supersede).

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -155,6 +155,10 @@
         self.buffers.trim(self._most_buffers // 2 if on else self._most_buffers)
         self.limit(2 if on else 1)
 
+    def others(self, clients: int) -> None:
+        """The process before this one still has so many: of the places for clients the rest is ours."""
+        self.front.limit_beside(clients)
+
     def limit(self, processes: int) -> None:
         """Keep within this process's part of the descriptors."""
         raise NotImplementedError
@@ -164,6 +168,7 @@
         if not self._stopping or on:
             self.front.supersede(on)
         self._log.info("superseded" if on else "superseded_no_more", clients=self.front.connections)
+        self._handover.count(self.front.connections)
 
     def follow(self, call: Call) -> None:
         self.operations.follow(call)
@@ -249,6 +254,8 @@
         self.transport.sweep()
         if self._management is not None:
             self._management.sweep()
+        if self._superseded:
+            self._handover.count(self.front.connections)
         self._sweeps += 1
         if self._sweeps % REPORT_EVERY == 0:
             counts = self.engine.counts
--- a/gaugesail/door.py
+++ b/gaugesail/door.py
@@ -76,6 +76,9 @@
         """Clients that are here are to go, with their next answer or when they are idle."""
         return self.closing or self.drain.on or self.moved.on
 
+    def limit_beside(self, clients: int) -> None:
+        """Beside the process before this one, which still has so many clients."""
+
     def accept(self, on: bool) -> None:
         self.accepting = on
         if on and not self.held:
--- a/gaugesail/handover.py
+++ b/gaugesail/handover.py
@@ -47,6 +47,7 @@
     def beside(self, on: bool) -> None: ...
     def superseded(self, on: bool) -> None: ...
     def follow(self, call: Call) -> None: ...
+    def others(self, clients: int) -> None: ...
 
 
 @implementer(IFileDescriptorReceiver)
@@ -185,6 +186,12 @@
 
     # ---- both ----
 
+    def count(self, clients: int) -> None:
+        """Tell the next process how many places clients still hold in this one: the rest is its own."""
+        for link in self._links:
+            if link.serves and not link.heir:
+                link.say(clients=clients)
+
     def tell(self, call: Call) -> None:
         """Tell the other process what an operator has asked of this one."""
         node = call.node.decode(errors="replace") if call.node is not None else None
@@ -219,6 +226,8 @@
         elif "serving" in said:
             link.serves = True
             self._owner.superseded(True)
+        elif "clients" in said:
+            self._owner.others(int(said["clients"]))
         elif "node" in said:
             node = said["node"]
             self._owner.follow(Call(str(node).encode() if node is not None else None, said["on"] is True))
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -33,6 +33,7 @@
 MAX_DISCARDED = 256 * 1024  # of what it still sends
 MAX_PIPELINED = 16 * 1024  # input beyond the request in hand, before reading pauses
 MARK_US, MOST_MARKS = 5_000, 64  # how finely the times are kept at which pipelined input came
+LEAST_BESIDE = 16  # places for clients beside another process, whatever it still holds
 LATEST = 2  # times its class's deadline: more than a client may ask for
 REASONS = {
     200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
@@ -573,8 +574,28 @@
         self.hold_off_us = settings.max_hold_off_us or 1_000_000
 
     def limit(self, connections: int, overflow: int) -> None:
-        """How many clients may be here; beside the next process it is half."""
-        self._max, self._most = connections, connections + overflow
+        """How many clients may be here; beside another process it is half."""
+        self._part, self._overflow = connections, overflow
+        self._places(connections)
+
+    def limit_beside(self, clients: int) -> None:
+        # What the other leaves of both parts is ours.  To have a mere half would starve the usual clients in
+        # a flood, of which the other still holds the most.
+        self._places(max(LEAST_BESIDE, 2 * self._part - clients))
+
+    def _places(self, connections: int) -> None:
+        self._max, self._most = connections, connections + self._overflow
+        if self.held and self.room > 0:
+            self.hold(False)
+
+    def supersede(self, on: bool) -> None:
+        super().supersede(on)
+        now = self.clock.now_us()
+        if on and len(self._open) > self._part:
+            # More than its part, so that the next process is short of places: what nobody misses goes now.
+            for connection in list(self._open):
+                if connection.may_go(now) > 1:
+                    connection.close()
 
     def sendable(self) -> list[ClientConnection]:
         now = self.clock.now_us()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -194,3 +194,16 @@
         with pytest.raises(NotYet):
             call()
     assert not list(tmp_path.iterdir()) and not engine.mock_calls
+
+
+def test_the_next_process_has_the_places_that_the_one_before_does_not_hold() -> None:
+    flood = "".join(f"client s{n}\n" for n in range(12))
+    asks = "".join(f"send s{n} {'connect' if n < 9 else 'get /_health'}\n" for n in range(12))
+    text = f"daemon http limits.sockets=116\n{flood}client c1\n{asks}wait 0.3\nexpect s11 200\n"
+    old, new = play(text + "send daemon replace\nwait 0.3\nexpect c1 nothing").heads
+    part = old._config.limits.of(2).client_connections
+    assert part == 11 and old.front.connections == 3, "silent ones go at once, as more are here than its part"
+    assert new.front._max == 2 * part - 3
+    old._handover._links[0].link.abortConnection()
+    old._reactor.run_until(lambda: False, 0.1)
+    assert new.front._max == old._config.limits.client_connections
