Begin an answer without a length as soon as it comes slowly

Traced: from the first byte of a large answer to the moment it was passed on 90 % took 0 ms and 10 % over 540 ms, up to 1.1 s: bricks write some answers in 50 pieces 30 ms apart, and those in chunks were held until 64 KiB had come (bricks.py, _more). Small answers come within 20 ms whatever their framing (1463 of them). Ruled out: the wait for a connection and the write of the request (0 ms at 90 %).

An answer without a length of which 8 KiB have come is passed on once 30 ms have gone since its first byte.

Tests: a scenario with slow pieces, and one that breaks while it is fast.

--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -24,6 +24,7 @@
 MAX_INTERIM = 8  # 1xx answers before the real one
 STALL_US = 500_000  # without a byte of an answer that has begun: it never will be whole
 STREAM_STALL_US = 5_000_000  # the same of one that is being passed on, while its client reads
+SLOW_US, SLOW_BYTES = 30_000, 8 * 1024  # an answer without a length that comes no faster will be a large one
 STALE_US = 20_000  # a request that is reset so soon met a connection that was closed before
 PROBE_US = 250_000
 READ_BYTES = 16 * 1024  # at once, and unwritten before a source is paused
@@ -225,7 +226,7 @@
         self._sink: Sink | None = None  # where an answer goes that is being passed on
         self._written = self._paused = self.lost = False
         self._interim = 0
-        self._heard_us = 0  # when the latest byte of the answer came
+        self._first_us = self._heard_us = 0  # when the first and the latest byte of the answer came
         self._started_us = self._idled_us = 0  # when it was last taken, and how long it was idle before
         self._used = False
         self.idle_since = self.rested_at = 0
@@ -261,7 +262,8 @@
             self._spoilt(Result.NO_CONNECTION)
 
     def _take(self, job: _Job) -> None:
-        self._job, self._written, self._interim, self._heard_us = job, False, 0, 0
+        self._job, self._written, self._interim = job, False, 0
+        self._first_us = self._heard_us = 0
         self._started_us = self._pool.clock.now_us()
         self._idled_us = self._started_us - self.idle_since
         if job.attempt is not None:
@@ -297,6 +299,7 @@
             self._spoilt(Result.NO_CONNECTION)
             return
         self._heard_us = self._pool.clock.now_us()
+        self._first_us = self._first_us or self._heard_us
         self._parser.feed(data)
         try:
             self._read()
@@ -338,7 +341,9 @@
         if self._body is None:
             self._body = Body(self._pool.buffers)
         self._body.append(data)
-        if (head.length or self._body.length) > WHOLE_BODY:
+        # Small answers come within 20 ms, whatever their framing; what is larger is timed by its first bytes.
+        slow = self._heard_us - self._first_us > SLOW_US and self._body.length >= SLOW_BYTES
+        if (head.length or self._body.length) > WHOLE_BODY or (head.length is None and slow):
             self._begin(head, self._body)
 
     def _begin(self, head: Head, body: Body) -> None:
