--- /dev/null
+++ b/gaugesail/lab/fleet.py
@@ -0,0 +1,475 @@
+"""A fleet in virtual time: whole heads' decisions (fleet and gateway), their stores, and what lies between.
+
+Each head has a clock of its own that drifts and starts anywhere, a store that keeps what it was given, and
+may stop at any step of what it is doing: die there, or sleep and go on with the rest.  The network loses,
+delays, doubles and reorders, and is cut one way or both.  Storage nodes serve at once; a judge counts what
+reached them.
+"""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from marllift import interface as api
+from marllift.charter import Charter
+from marllift.decide import Gateway
+from marllift.fleet import FleetNode, Kept, Loaded, Output
+from marllift.holder import Spendable
+from marllift.messages import Message
+from marllift.raft import Snapshot
+
+SECOND = 1_000_000
+NODE = b"node-0"
+WANT_US = 100_000
+SERVE_US = 1_000
+INBOX = 400  # messages that wait while a head sleeps; the rest is lost
+START_US = 1_700_000_000 * SECOND
+ENVELOPE = 70  # bytes around a message on the wire
+
+
+@dataclass(slots=True)
+class Disk:
+    """What a head's store holds.  ``full``: it takes no more."""
+
+    kept: Kept | None = None
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    log: dict[int, Any] = field(default_factory=dict)
+    full: bool = False
+
+    def load(self, rng: random.Random) -> Loaded:
+        if self.kept is None:
+            self.kept = Kept(f"{rng.getrandbits(48):012x}")
+        first = self.snapshot.index + 1
+        log = []
+        while first in self.log:
+            log.append(self.log[first])
+            first += 1
+        return Loaded(copy.deepcopy(self.kept), self.snapshot, log)
+
+    def write(self, save: Any) -> bool:
+        if self.full:
+            return False
+        self.kept = copy.deepcopy(save.kept)
+        if save.anew:
+            self.snapshot, self.log = Snapshot(), {}
+        if save.first is not None:
+            self.log = {index: entry for index, entry in self.log.items() if index < save.first}
+            self.log.update(enumerate(save.entries, save.first))
+        if save.snapshot is not None:
+            self.snapshot = save.snapshot
+            self.log = {index: entry for index, entry in self.log.items() if index > save.snapshot.index}
+        return True
+
+    def copy(self) -> Disk:
+        return copy.deepcopy(self)
+
+
+@dataclass(slots=True)
+class Limit:
+    """One plan's limit as a file says it."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(slots=True, eq=False)
+class Judge:
+    """One volume's store as one mind would keep it, by what reached the nodes.
+
+    While the whole changes the larger figure holds for it, until ``until``.
+    """
+
+    rate: float
+    burst: float
+    at: int
+    units: float = 0.0
+    least: float = 0.0
+    spent: float = 0.0
+    overs: int = 0
+
+    def __post_init__(self) -> None:
+        self.units = self.burst
+
+    def fill(self, now: int) -> None:
+        self.units = min(self.burst, self.units + (now - self.at) / SECOND * self.rate)
+        self.at = now
+
+    def take(self, now: int, units: float) -> None:
+        self.fill(now)
+        self.units -= units
+        self.spent += units
+        if self.units < -1e-6:
+            self.overs += 1
+        self.least = min(self.least, self.units)
+
+
+class LabHead:
+    """One head: a process that comes and goes, and a store that stays."""
+
+    def __init__(self, world: FleetWorld, name: str, drift: float) -> None:
+        self.world, self.name, self.drift = world, name, drift
+        self.offset = world.rng.randrange(10**12)
+        self.wall_ms = START_US // 1000
+        self.disk: Disk | None = Disk()
+        self.node: FleetNode | None = None
+        self.gateway: Gateway | None = None
+        self.life = 0
+        self.asleep = False
+        self.limit = world.limit
+        self.inbox: deque[tuple[str, int, Message]] = deque(maxlen=INBOX)
+        self._late: deque[Callable[[], None]] = deque()  # what it was doing when it stopped, and has missed
+        self.stop_after: int | None = None  # steps, and then it sleeps (or dies)
+        self.dies = False
+        self._wake_at = 0
+        self.sent_bytes = self.sent_messages = 0
+        self.open: dict[int, float] = {}
+        self.notices: Counter[str] = Counter()
+
+    # ---- its time ----
+
+    def now(self) -> int:
+        return self.offset + int(self.world.now * (1 + self.drift))
+
+    def true(self, local: int) -> int:
+        """When its clock will show that; a moment later rather than earlier."""
+        return int((local - self.offset) / (1 + self.drift)) + 1
+
+    # ---- its life ----
+
+    def start(self, store: bool = True) -> None:
+        world = self.world
+        self.life += 1
+        life, process = self.life, world.rng.getrandbits(62) | 1
+        loaded = self.disk.load(world.rng) if store and self.disk is not None else None
+        self.asleep, self.stop_after = False, None
+        self.inbox.clear()
+        self._late.clear()
+        self.open.clear()
+        self._wake_at = 0
+        seed = world.rng.getrandbits(32)
+        settings = world.settings(self.limit)
+        self.gateway = Gateway(settings, seed, self.now())
+        self._carry(self.gateway.handle(self.now(), [
+            api.NodeList(api.ListKind.CACHED, (api.Node(NODE, 0),))
+        ]))  # fmt: skip
+        self.node = FleetNode(
+            world.charter, "charter", self.name, f"{self.name}:1", process, self.wall_ms + world.now // 1000,
+            loaded, seed, self.now(),
+        )  # fmt: skip
+        self.tell_limit()
+        self.step(lambda node: node.tick(self.now()))
+        world.at(world.now + WANT_US, lambda: self._wants(life))
+
+    def tell_limit(self) -> None:
+        if self.node is not None:
+            pair = round(self.limit.rate * 1000), round(self.limit.burst * 1000)
+            self.node.state({"plan": pair}, round(self.world.most_units * 1000))
+
+    def retune(self, limit: Limit) -> None:
+        """Its file says another limit."""
+        self.limit = limit
+        if self.node is not None and not self.asleep:
+            self.tell_limit()
+            assert self.gateway is not None
+            self._carry(self.gateway.handle(self.now(), [api.Retune(self.world.settings(limit))]))
+
+    def die(self) -> None:
+        self.node = self.gateway = None
+        self.asleep = False
+        self._late.clear()
+        self.open.clear()
+
+    def sleep(self) -> None:
+        self.asleep = True
+
+    def wake(self) -> None:
+        """It goes on just where it stopped."""
+        if not self.asleep:
+            return
+        self.asleep = False
+        while self._late and not self.asleep and self.node is not None:
+            self._late.popleft()()
+        while self.inbox and not self.asleep and self.node is not None:
+            sender, process, message = self.inbox.popleft()
+            self.hear(sender, process, message)
+        if self.node is not None and not self.asleep:
+            self.step(lambda node: node.tick(self.now()))
+
+    # ---- doing things, one after another ----
+
+    def do(self, *things: Callable[[], None]) -> None:
+        """It may stop before any of them; asleep, it goes on with the rest when it wakes."""
+        if self._late or self.asleep:
+            self._late.extend(things)
+            return
+        queue = deque(things)
+        while queue and self.node is not None:
+            if self.stop_after is not None:
+                if self.stop_after <= 0:
+                    self.stop_after = None
+                    if self.dies:
+                        self.die()
+                        return
+                    self.asleep = True
+                    self._late.extend(queue)
+                    return
+                self.stop_after -= 1
+            queue.popleft()()
+
+    def step(self, call: Callable[[FleetNode], Output]) -> None:
+        """One step of the fleet's decisions, and what it comes to."""
+        node = self.node
+        if node is None:
+            return
+        out = call(node)
+        for event, _ in out.notices:
+            self.notices[event] += 1
+        things: list[Callable[[], None]] = []
+        if out.save is not None:
+            # What is kept is what it was then.
+            save = copy.deepcopy(out.save)
+            if self.disk is None or not self.disk.write(save):
+                node.store_failed(self.now(), "full")
+                self._plan()
+                return
+            things.append(lambda: None)
+        if (shares := out.shares) is not None:
+            things.append(lambda: self._shares(shares))
+        things += [self._sending(to, message) for to, message in out.sends]
+        self.do(*things)
+        self._plan()
+
+    def _sending(self, to: str, message: Message) -> Callable[[], None]:
+        life, node = self.life, self.node
+        assert node is not None
+        return lambda: self.world.send(self, life, to, node.process, message)
+
+    def _plan(self) -> None:
+        if self.node is None:
+            return
+        at = max(self.world.now + 1, self.true(self.node.next_at))
+        if not self._wake_at or at < self._wake_at or self._wake_at <= self.world.now:
+            self._wake_at = at
+            life = self.life
+            self.world.at(at, lambda: self._due(life, at))
+
+    def _due(self, life: int, at: int) -> None:
+        if life != self.life or self.node is None or at != self._wake_at:
+            return
+        self._wake_at = 0
+        if self.asleep:
+            return
+        if self.now() >= self.node.next_at:
+            self.step(lambda node: node.tick(self.now()))
+        else:
+            self._plan()
+
+    def hear(self, sender: str, process: int, message: Message) -> None:
+        if self.asleep or self._late:
+            self.inbox.append((sender, process, message))
+        else:
+            self.step(lambda node: node.receive(self.now(), sender, process, message))
+
+    def _wants(self, life: int) -> None:
+        if life != self.life or self.node is None:
+            return
+        self.world.at(self.world.now + WANT_US, lambda: self._wants(life))
+        if self.asleep or self.gateway is None:
+            return
+        asked = {
+            f"{plan}/{volume:x}": (units, spent, saved, 1000)
+            for plan, volume, units, spent, saved in self.gateway.amounts.wants(self.now())
+        }
+        self.step(lambda node: node.want(self.now(), asked))
+
+    # ---- its gateway ----
+
+    def _shares(self, told: Spendable) -> None:
+        assert self.gateway is not None
+        parts = []
+        for amount, rate, burst in told.parts:
+            plan, _, volume = amount.rpartition("/")
+            parts.append((plan, int(volume, 16), rate / 1000, burst / 1000))
+        floors = told.floors
+        if floors is not None:
+            floors = tuple((plan, rate / 1000, burst / 1000) for plan, rate, burst in floors)  # type: ignore[misc]
+        event = api.Shares(told.until, tuple(parts), floors, told.anew)
+        self._carry(self.gateway.handle(self.now(), [event]))
+
+    def ask(self, units: float, volume: int) -> None:
+        """A client's request."""
+        if self.gateway is None or self.asleep:
+            return
+        number = self.world.next_request
+        self.world.next_request += 1
+        self.open[number] = units
+        now = self.now()
+        request = api.Request(number, 0, now + 2 * SECOND, 0, 0, units, 0, volume, self.world.mounts)
+        self._carry(self.gateway.handle(now, [request]))
+
+    def _event(self, life: int, event: api.Event) -> None:
+        """Something falls due at the gateway; while it sleeps, it waits."""
+        if life != self.life or self.gateway is None:
+            return
+        if self.asleep:
+            self._late.append(lambda: self._event(life, event))
+            return
+        self._carry(self.gateway.handle(self.now(), [event]))
+
+    def _carry(self, actions: list[api.Action]) -> None:
+        life = self.life
+        sends: list[Callable[[], None]] = []
+        for action in actions:
+            if isinstance(action, api.SetTimer):
+                at = max(self.world.now + 1, self.true(action.at_us))
+                self.world.at(at, lambda t=action.token: self._event(life, api.TimerFired(t)))  # type: ignore[misc]
+            elif isinstance(action, api.Send):
+                sends.append(lambda a=action: self._begin(a))  # type: ignore[misc]
+            elif isinstance(action, (api.Refuse, api.Fail)):
+                self.open.pop(action.request, None)
+                self.world.counts["refused"] += 1
+        if sends:
+            self.do(*sends)
+
+    def _begin(self, send: api.Send) -> None:
+        """The first byte: the last look at whether it may still go."""
+        life, world = self.life, self.world
+        if send.before_us and self.now() >= send.before_us and world.guard_first_byte:
+            world.counts["moot"] += 1
+            outcome = api.Outcome(send.request, 0, NODE, api.Result.MOOT, 0, False)
+        else:
+            world.arrived(self, send.request, self.open.get(send.request, 0.0))
+            outcome = api.Outcome(send.request, 0, NODE, api.Result.SERVED, SERVE_US, True)
+            self.open.pop(send.request, None)
+        world.at(world.now + SERVE_US, lambda: self._event(life, outcome))
+
+
+@dataclass(slots=True)
+class Line:
+    """What happens to messages from one head to another."""
+
+    drop: float = 0.0
+    delay_us: int = 300
+    jitter_us: int = 700
+    double: float = 0.0
+    cut: bool = False
+
+
+class FleetWorld:
+    """All heads, the network between them, and the nodes' judge."""
+
+    def __init__(
+        self, seed: int, heads: int, keepers: int, limit: Limit, charter: Charter | None = None,
+        mounts: float | None = None, drift: float = 0.0, most_units: float = 8.0,
+    ) -> None:  # fmt: skip
+        self.rng, self.now = random.Random(seed), 0
+        names = [f"h{n}" for n in range(heads)]
+        self.charter = charter or Charter("lab", tuple(names[:keepers]), most_heads=heads)
+        self.limit, self.most_units = limit, most_units
+        self.mounts = float(heads if mounts is None else mounts)
+        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self._made = 0
+        self.counts: Counter[str] = Counter()
+        self.next_request = 1
+        self.guard_first_byte = True
+        self.judges: dict[int, Judge] = {}
+        self.lines: dict[tuple[str, str], Line] = {}
+        self.volume_of: dict[int, int] = {}
+        self.arrivals: list[tuple[int, str, float]] = []
+        self.fleet = True  # or each the even part
+        self.pack = msgspec.msgpack.Encoder().encode
+        self.weigh = False  # whether messages' bytes are counted
+        self.heads = {name: LabHead(self, name, drift * self.rng.uniform(-1, 1)) for name in names}
+
+    def settings(self, limit: Limit) -> api.Settings:
+        return api.Settings(
+            classes=(api.RequestClass("read", 500_000, 2_000_000, 3.0, 0.15),),
+            plans=(
+                api.Plan("plan", limit.rate, 0.8 * limit.rate, limit=limit.rate, limit_burst=limit.burst),
+            ),
+            gateways=len(self.heads), tick_us=1000, mean_units=2.0, most_units=self.most_units,
+            max_attempts=4, fleet=self.fleet,
+        )  # fmt: skip
+
+    # ---- time ----
+
+    def at(self, at: int, call: Callable[[], None]) -> None:
+        self._made += 1
+        heapq.heappush(self._heap, (at, self._made, call))
+
+    def run(self, until: int) -> None:
+        while self._heap and self._heap[0][0] <= until:
+            at, _, call = heapq.heappop(self._heap)
+            self.now = max(self.now, at)
+            call()
+        self.now = until
+
+    # ---- the network ----
+
+    def line(self, a: str, b: str) -> Line:
+        if (line := self.lines.get((a, b))) is None:
+            line = self.lines[a, b] = Line()
+        return line
+
+    def send(self, head: LabHead, life: int, to: str, process: int, message: Message) -> None:
+        if life != head.life or head.node is None:
+            return
+        if to == head.name:
+            self.at(self.now, lambda: self._deliver(head.name, to, process, message))
+            return
+        head.sent_messages += 1
+        if self.weigh:
+            head.sent_bytes += len(self.pack(message)) + ENVELOPE
+        line = self.line(head.name, to)
+        if line.cut or self.rng.random() < line.drop:
+            return
+        for _ in range(2 if self.rng.random() < line.double else 1):
+            late = line.delay_us + int(line.jitter_us * self.rng.random())
+            self.at(self.now + late, lambda: self._deliver(head.name, to, process, message))
+
+    def _deliver(self, sender: str, to: str, process: int, message: Message) -> None:
+        head = self.heads.get(to)
+        if head is not None and head.node is not None:
+            head.hear(sender, process, message)
+
+    def cut(self, side: set[str], both: bool = True, on: bool = True) -> None:
+        """Between some heads and all others: what they say does not arrive, or nothing either way."""
+        for a in self.heads:
+            for b in self.heads:
+                if a in side and b not in side:
+                    self.line(a, b).cut = on
+                    if both:
+                        self.line(b, a).cut = on
+
+    # ---- the nodes ----
+
+    def judge(self, volume: int) -> Judge:
+        if (judge := self.judges.get(volume)) is None:
+            judge = self.judges[volume] = Judge(self.limit.rate, self.limit.burst, self.now)
+        return judge
+
+    def arrived(self, head: LabHead, request: int, units: float) -> None:
+        self.judge(self.volume_of.pop(request, 0)).take(self.now, units)
+        self.arrivals.append((self.now, head.name, units))
+
+    def ask(self, name: str, units: float, volume: int = 1) -> None:
+        self.volume_of[self.next_request] = volume
+        self.counts["asked"] += 1
+        self.heads[name].ask(units, volume)
+
+    @property
+    def overspent(self) -> int:
+        return sum(judge.overs for judge in self.judges.values())
+
+    def used(self, since: int, until: int) -> float:
+        """Units that reached the nodes within a span, of what the whole allows in it."""
+        units = sum(units for at, _, units in self.arrivals if since <= at < until)
+        return units / (self.limit.rate * (until - since) / SECOND * max(1, len(self.judges)))
--- /dev/null
+++ b/marllift/amounts.py
@@ -0,0 +1,193 @@
+"""What this gateway may spend of amounts that it shares with others: the limit of a plan, by volume, and the
+budget for further attempts.
+
+A limit is a store of units, filled as time goes by and emptied by first sends.  Where gateways may not talk
+each has the even part of it.  Where the fleet divides it (docs/fleet-agreement.md) a store fills at the floor
+and the part together, up to both bursts, and at the floor alone once the lease is over.  It begins empty: an
+earlier life may have spent all that this gateway had.  What grows grows empty; what shrinks loses the rest.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from . import interface as api
+
+FLOOR_HOLD_US = 1_000_000  # a send that rests on no lease is begun by then or not at all
+
+
+@dataclass(slots=True, eq=False)
+class Store:
+    """One volume's units here.  Rates in units a second, bursts in units, times in microseconds."""
+
+    plan: api.Plan
+    at: int
+    units: float = 0.0
+    rate: float = 0.0  # its own, whatever happens: the floor, or the even part
+    burst: float = 0.0
+    part_rate: float = 0.0  # until the lease ends
+    part_burst: float = 0.0
+    asked: float = 0.0  # units of requests since the last reading
+    spent: float = 0.0  # and of first sends
+    books: int = 0  # that draw on it
+
+    def fill(self, now: int, until: int) -> None:
+        """What has come in since; the part's only up to the end of its lease.
+
+        Never more than this gateway's own file allows, whatever the fleet has agreed.
+        """
+        live = min(now, until)
+        if live > self.at and (self.part_rate or self.part_burst):
+            rate = min(self.plan.limit, self.rate + self.part_rate)
+            burst = min(self.plan.limit_burst, self.burst + self.part_burst)
+            self.units = min(burst, self.units + (live - self.at) / 1e6 * rate)
+            self.at = live
+        if now > self.at:
+            # From here on it has its own alone.
+            rate, burst = min(self.plan.limit, self.rate), min(self.plan.limit_burst, self.burst)
+            self.units = min(burst, self.units + (now - self.at) / 1e6 * rate)
+            self.at = now
+
+    def clamp(self) -> None:
+        """Its bursts have changed: what is over is lost."""
+        self.units = min(self.units, self.burst + self.part_burst)
+
+
+class Amounts:
+    """The stores of one gateway."""
+
+    def __init__(self, settings: api.Settings, born: int) -> None:
+        self._set, self._born = settings, born
+        self._until = 0  # of the lease
+        self._stores: dict[tuple[str, int, float], Store] = {}
+        self._asked: dict[tuple[str, int], Store] = {}
+        self._parts: dict[tuple[str, int], tuple[float, float]] = {}
+        self._floors: dict[str, tuple[float, float]] = {}
+        self._floors_at = born
+        self._taken, self._extras = deque[int](), deque[int]()
+
+    def settle(self, settings: api.Settings) -> None:
+        """Other settings; stores go by the names of plans."""
+        self._set = settings
+        plans = {plan.name: plan for plan in settings.plans}
+        for store in self._stores.values():
+            store.plan = plans.get(store.plan.name, store.plan)
+
+    # ---- limits, the gateway's side ----
+
+    def limit(self, now: int, plan: api.Plan, volume: int, mounts: float) -> Store:
+        """The store of one volume under its plan's limit."""
+        name = plan.name, volume, 0.0 if self._set.fleet else mounts
+        if (store := self._stores.get(name)) is None:
+            # An earlier life may have spent this gateway's whole part: it starts empty.
+            store = self._stores[name] = Store(plan, self._born)
+            if self._set.fleet:
+                store.at = self._floors_at
+                store.rate, store.burst = self._floors.get(plan.name, (0.0, 0.0))
+                store.fill(now, 0)
+                store.part_rate, store.part_burst = self._parts.get(name[:2], (0.0, 0.0))
+        store.books += 1
+        return store
+
+    def asked(self, now: int, store: Store, volume: int, units: float) -> None:
+        """A request has come: what is asked for, served or not, is what the fleet divides by."""
+        if self._set.fleet and store.plan.limit:
+            store.asked += units
+            self._asked[store.plan.name, volume] = store
+
+    def fill(self, now: int, store: Store, mounts: float, lives: int) -> None:
+        """Bring a store up to now; beside another process of this gateway half of an even part comes in."""
+        if not self._set.fleet:
+            plan = store.plan
+            store.rate, store.burst = plan.limit / mounts / lives, plan.limit_burst / mounts
+        store.fill(now, self._until)
+
+    def take(self, now: int, store: Store, units: float) -> int:
+        """A first send takes its units: when it has to be begun by; 0: at any time."""
+        store.units -= units
+        store.spent += units
+        if not self._set.fleet or not store.plan.limit:
+            return 0
+        # Checked again at the first byte: a process may sleep in between for longer than its lease.
+        leased = now < self._until and (store.part_rate or store.part_burst)
+        return self._until if leased else now + FLOOR_HOLD_US
+
+    def left(self, now: int, name: tuple[int, str, float], store: Store) -> bool:
+        """A book of a volume is no longer needed; it goes if its store is full, and would be made full again.
+
+        One that is not full would come back with more than it went with.
+        """
+        store.fill(now, self._until)
+        if store.plan.limit and store.units < min(store.plan.limit_burst, store.burst + store.part_burst):
+            return False
+        store.books -= 1
+        if not store.books:
+            volume, plan, mounts = name
+            self._stores.pop((plan, volume, 0.0 if self._set.fleet else mounts), None)
+        return True
+
+    # ---- limits, the fleet's side ----
+
+    def wants(self, now: int) -> list[tuple[str, int, float, float, float]]:
+        """Plan, volume, units asked for and sent since the last call, and units saved up, of each volume
+        under a limit that was asked for."""
+        found = []
+        for name, store in self._asked.items():
+            store.fill(now, self._until)
+            found.append((*name, store.asked, store.spent, max(0.0, store.units)))
+            store.asked = store.spent = 0.0
+        self._asked = {}
+        return found
+
+    def shares(self, now: int, event: api.Shares) -> None:
+        """What the fleet lets this gateway spend from now on; up to now by what held until now."""
+        every = list(self._stores.values())
+        named = [self._stores.get((plan, volume, 0.0)) for plan, volume, _, _ in event.parts]
+        if event.anew or event.floors is not None or now > self._until:
+            changed = every
+        else:
+            changed = [store for store in named if store is not None]
+        for store in changed:
+            store.fill(now, self._until)
+        self._until = event.until_us
+        if event.floors is not None:
+            if not self._floors:
+                self._floors_at = now
+            self._floors = {plan: (rate, burst) for plan, rate, burst in event.floors}
+            for store in every:
+                store.rate, store.burst = self._floors.get(store.plan.name, (0.0, 0.0))
+        if event.anew:
+            self._parts.clear()
+            for store in every:
+                store.part_rate = store.part_burst = 0.0
+        for (plan, volume, rate, burst), found in zip(event.parts, named, strict=True):
+            self._parts[plan, volume] = rate, burst
+            if not (rate or burst):
+                del self._parts[plan, volume]
+            if found is not None:
+                found.part_rate, found.part_burst = rate, burst
+        for store in changed:
+            store.clamp()
+
+    # ---- further attempts ----
+
+    def request(self, now: int) -> None:
+        if self._set.budget_window_us:
+            self._taken.append(now)
+
+    def extra(self, now: int) -> None:
+        """A further attempt goes."""
+        if self._set.budget_window_us:
+            self._extras.append(now)
+
+    def budget_left(self, now: int, lives: int) -> bool:
+        """Rule 6, counted as it is worded."""
+        if not (span := self._set.budget_window_us):
+            return True
+        while self._taken and self._taken[0] <= now - span:
+            self._taken.popleft()
+        while self._extras and self._extras[0] < now - span:
+            self._extras.popleft()
+        free = self._set.budget_free / lives
+        return len(self._extras) + 1 <= free + self._set.budget_share * len(self._taken)
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
 from . import interface as api
+from .amounts import Amounts
 from .cold import ColdCare
 from .interface import Effect, Result
 from .lines import Standing
@@ -43,6 +44,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.born, self.now = now, now
         self.rng, self.cold = random.Random(seed), ColdCare(settings, now)
+        self.amounts = Amounts(settings, now)
         self.recovery = Recovery(settings, self.cold, random.Random(seed + 1))
         self.places: dict[str, int] = {}  # of each class in the books
         self.target, self.aims = list[float](), list[float]()  # by place
@@ -53,14 +55,14 @@
         self.shards: dict[int, Shard] = defaultdict(lambda: Shard(len(self.target)))
         self.volumes: dict[tuple[int, str, float], Volume] = {}
         self.chains: dict[int, Chain] = {}
-        self.taken, self.extras = deque[int](), deque[int]()
         self.acts: list[api.Action] = [api.SetTimer(now + PERIOD_US, BELL_PERIOD)]
         self.acts += [api.WatchList(True)] * settings.ask_for_lists
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Outcome: self._outcome, api.Request: self._request, api.TimerFired: self._bell,
             api.NodeList: self._list, api.PeerMessage: self._peer, api.ClientGone: self._gone,
             api.Maintenance: self._maintain, api.Overlap: self._overlap,
-            api.Retune: self._retune}  # fmt: skip
+            api.Retune: self._retune,
+            api.Shares: lambda event: self.amounts.shares(self.now, event)}  # fmt: skip
         self.dirty: dict[int, Shard] = {}
         self.walkers: list[Job] = []  # came in this batch, and do not wait
         self.ticking, self.watch_fails = False, 0
@@ -69,6 +71,7 @@
     def _settle(self, settings: api.Settings) -> None:
         self.set, self.hold_off = settings, settings.max_hold_off_us * settings.may_hold_off
         self.cold.settle(settings)
+        self.amounts.settle(settings)
         self.recovery.settle(settings)
         self.tick = max(settings.tick_us, min(TICK_US, min(c.aim_us for c in settings.classes) // TICKS))
         self.tiers = (1.0, settings.share_worth, settings.spare_worth)
@@ -203,8 +206,7 @@
             self.recovery.counted("unlisted", "none")
             self.acts.append(api.Refuse(event.request, self.hold_off))
             return
-        if self.set.budget_window_us:
-            self.taken.append(now)
+        self.amounts.request(now)
         volume = self._volume(event, terms)
         # A client's repeat has less time than its class, and part of its aim is gone.  Past its aim a request
         # earns next to nothing and delays the rest: there it ends.
@@ -247,15 +249,18 @@
         plan = terms.plans[event.plan]
         name = event.volume, plan.name, event.mounts
         if (volume := self.volumes.get(name)) is None:
-            # An earlier life may have spent this gateway's whole part of the limit: start it empty.
-            volume = Volume(plan, event.mounts, self.born, plan.reserve + self.set.most_units, plan.rate, 0.0)
+            limit = self.amounts.limit(self.now, plan, event.volume, event.mounts)
+            reserve = plan.reserve + self.set.most_units
+            volume = Volume(plan, event.mounts, self.born, reserve, plan.rate, limit)
             self.volumes[name] = volume
         self._refill(volume)
+        self.amounts.asked(self.now, volume.limit, event.volume, event.units)
         volume.jobs += 1
         return volume
 
     def _refill(self, volume: Volume) -> None:
-        volume.refill(self.now, self.set.most_units, self.lives)
+        volume.refill(self.now, self.set.most_units)
+        self.amounts.fill(self.now, volume.limit, volume.mounts, self.lives)
 
     def _wait(self, job: Job) -> None:
         self.shards[job.shard].waiting[job.kind].append(job)
@@ -376,20 +381,9 @@
         if chain is not None and now < chain.rest_until and chain.rest_for is not job:
             return True
         if job.attempts == 0:
-            return bool(plan.limit) and job.units > job.volume.limit
+            return bool(plan.limit) and job.units > job.volume.limit.units
         risky = job.risky_at is not None and job.spec.group is api.Group.ZONE
-        return (risky and node.zone != job.risky_zone) or not self._budget_left()
-
-    def _budget_left(self) -> bool:
-        """Rule 6, counted as it is worded."""
-        if not (span := self.set.budget_window_us):
-            return True
-        while self.taken and self.taken[0] <= self.now - span:
-            self.taken.popleft()
-        while self.extras and self.extras[0] < self.now - span:
-            self.extras.popleft()
-        free = self.set.budget_free / self.lives
-        return len(self.extras) + 1 <= free + self.set.budget_share * len(self.taken)
+        return (risky and node.zone != job.risky_zone) or not self.amounts.budget_left(now, self.lives)
 
     def _tier(self, job: Job) -> int:
         """What its units would be to its volume: 0 inside the reserve, 1 inside the share, 2 beyond."""
@@ -450,16 +444,17 @@
         # One that hangs gives its slot back; what must not run twice waits to the end: it could not go again.
         longer = PATIENCE * self.recovery.patience(job)
         patience = int(longer * self.target[job.kind]) if job.spec.effect is Effect.SAFE else 0
-        self.acts.append(api.Send(job.id, node.id, patience))
         volume = job.volume
         if job.attempts == 0:
-            volume.limit -= job.units
+            job.before = self.amounts.take(self.now, volume.limit, job.units)
             if volume.reserve >= job.units / 2:
                 volume.reserve -= job.units
             else:
                 volume.share -= job.units
-        elif self.set.budget_window_us:
-            self.extras.append(self.now)
+        else:
+            self.amounts.extra(self.now)
+        before = job.before if job.risky_at is None else 0  # what may have arrived is spent
+        self.acts.append(api.Send(job.id, node.id, patience, before))
         node.out[(job.id, job.attempts)] = job
         node.used[job.kind] += 1
         node.peak = max(node.peak, len(node.out))
@@ -494,11 +489,10 @@
                 self.now, {number: shard.node for number, shard in self.shards.items()}, self.lives)
             for shard in self.shards.values():
                 self._control(shard)
-            self._budget_left()
+            self.amounts.budget_left(self.now, self.lives)
             self.chains = {k: c for k, c in self.chains.items() if c.jobs or c.out or c.rest_until > self.now}
             for key, volume in [item for item in self.volumes.items() if not item[1].jobs]:
-                age, plan = self.now - volume.at, volume.plan
-                if age > FORGET_US and plan.limit * age >= plan.limit_burst * 1e6:  # its stores are full
+                if self.now - volume.at > FORGET_US and self.amounts.left(self.now, key, volume.limit):
                     del self.volumes[key]
             self.nodes = {key: node for key, node in self.nodes.items() if node.listed or node.out}
 
--- /dev/null
+++ b/marllift/granting.py
@@ -0,0 +1,378 @@
+"""The leader's office: renews leases, closes those that have surely run out, and divides what there is.
+
+It lasts for one term.  What it does rests on its ledger, in which every entry of earlier terms stands, and on
+its own clock alone: a lease is counted from after it was given, by ``Charter.count_us``, and one that an
+earlier leader gave from when this one began to serve.  Less is asked of a holder, and written down once it
+says that it has; more is written down first and told then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .charter import Charter
+from .division import Claim, divide
+from .ledger import Ledger, Pair, plan_of
+from .messages import (
+    Answer,
+    Ask,
+    Close,
+    Demand,
+    FloorAt,
+    Held,
+    Message,
+    Open,
+    Order,
+    Orders,
+    Part,
+    Settle,
+    Status,
+    Wholes,
+)  # fmt: skip
+from .raft import Raft
+
+RETELL_US = 250_000  # an order that its holder's book does not show yet
+MOST_ORDERS = 24  # in one message
+MOST_DIVIDED = 200  # amounts in one step
+SLACK = 50  # parts of the whole: a burst that is over by less is left
+
+
+@dataclass(slots=True, eq=False)
+class _Tenant:
+    """What the office knows of one session."""
+
+    until: int  # its lease has surely run out then
+    head: str
+    round: int = 0  # the ask that waits for this round
+    ask: Ask | None = None
+    untold: dict[str, int] = field(default_factory=dict)  # amounts its book does not show, when last said
+    lower: dict[str, Pair] = field(default_factory=dict)  # what it is asked to come down to
+    demands: dict[str, Demand] = field(default_factory=dict)
+    wholes: tuple[tuple[str, int, int], ...] = ()
+    quantum: int = 0
+    closing: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """Something that staff are told."""
+
+    event: str
+    fields: tuple[tuple[str, str | int | float], ...] = ()
+
+
+class Office:
+    """The leader's books and duties in one term."""
+
+    def __init__(self, charter: Charter, digest: str, ledger: Ledger, raft: Raft, now: int) -> None:
+        self._charter, self._digest, self._ledger, self._raft = charter, digest, ledger, raft
+        self.term, self._leader = raft.term, raft.seat.rpartition("#")[0]
+        # Whoever led before may have renewed any of these up to the moment at which this term's entry was
+        # committed.
+        until = now + charter.count_us
+        self.tenants = {n: _Tenant(until, session.head) for n, session in ledger.sessions.items()}
+        for amount, stakes in ledger.parts.items():
+            for number in stakes:
+                self.tenants[number].untold[amount] = now - RETELL_US
+        self._pending: dict[str, set[int]] = {}  # sessions with an entry on its way, by amount
+        self._opening: dict[int, tuple[str, Ask]] = {}  # by process
+        self._settle_at = until
+        self._dirty: dict[str, None] = dict.fromkeys(ledger.parts)
+        self._proposed: dict[str, int] = {}  # duties that have an entry on its way
+        self._out: list[tuple[str, Message]] = []
+        self._notes: list[Note] = []
+        self._retell_at = now
+
+    def take_out(self) -> list[tuple[str, Message]]:
+        found, self._out = self._out, []
+        return found
+
+    def take_notes(self) -> list[Note]:
+        found, self._notes = self._notes, []
+        return found
+
+    @property
+    def next_at(self) -> int:
+        times = [tenant.until + 1 for tenant in self.tenants.values() if not tenant.closing]
+        return min([self._retell_at, *times])
+
+    # ---- asks ----
+
+    def ask(self, now: int, sender: str, ask: Ask) -> None:
+        """A holder asks.  It is answered once a round that begins now is confirmed."""
+        if ask.charter != self._digest:
+            self._answer(sender, ask, Status.CHARTER)
+            return
+        session = self._ledger.process(ask.process)
+        if session is None:
+            if ask.session:
+                self._answer(sender, ask, Status.UNKNOWN)
+            elif ask.leaving:
+                self._answer(sender, ask, Status.LEFT)
+            else:
+                self._opening[ask.process] = sender, ask
+                self._once(f"open {ask.process}", Open(sender, ask.process, ask.store))
+            return
+        tenant = self.tenants[session.number]
+        if tenant.closing:
+            return  # from the moment that its end is proposed nothing of it is renewed
+        if ask.leaving:
+            self._shut(session.number)
+            self._note("session_left", head=session.head, session=session.number)
+            self._answer(sender, ask, Status.LEFT)
+            return
+        self._learn(now, session.number, tenant, ask)
+        if tenant.ask is None or ask.number > tenant.ask.number:
+            tenant.ask, tenant.round = ask, self._raft.confirm()
+
+    def _learn(self, now: int, number: int, tenant: _Tenant, ask: Ask) -> None:
+        """What the holder says of itself: its wholes, its floor, its book and its wants."""
+        tenant.quantum = ask.quantum
+        if ask.wholes != tenant.wholes:
+            tenant.wholes = ask.wholes
+            self._agree(now)
+        session = self._ledger.sessions[number]
+        slot = self._ledger.slots.get(session.slot)
+        if slot is not None and ask.slot == session.slot and slot.versions[0] < ask.floor:
+            self._once(f"floor {ask.slot}", FloorAt(ask.slot, ask.floor))
+        for held in ask.held:
+            self._booked(number, tenant, held)
+        for demand in ask.demands:
+            if demand.rate > 0:
+                tenant.demands[demand.amount] = demand
+            else:
+                tenant.demands.pop(demand.amount, None)
+            self._dirty[demand.amount] = None
+
+    def _booked(self, number: int, tenant: _Tenant, held: Held) -> None:
+        """What the holder's book says of one part: an order has come, or it has released some."""
+        stake = self._ledger.parts.get(held.amount, {}).get(number)
+        if stake is None or held.version != stake.version:
+            return
+        rate, burst = min(held.rate, stake.rate), min(held.burst, stake.burst)
+        if (rate, burst) != (stake.rate, stake.burst):
+            self._propose(held.amount, number, rate, burst, stake.version)
+        elif held.amount not in tenant.lower:
+            tenant.untold.pop(held.amount, None)
+
+    def _answer(self, to: str, ask: Ask, status: Status, session: int = 0) -> None:
+        ledger = self._ledger
+        found = ledger.sessions.get(session)
+        wholes = tuple((plan, *pair) for plan, pair in sorted(ledger.wholes.items()))
+        slot = found.slot if found is not None else -1
+        self._out.append(
+            (to, Answer(ask.process, ask.number, status, session, self.term, self._leader, slot,
+                        ledger.version, wholes))
+        )  # fmt: skip
+
+    # ---- the log ----
+
+    def _once(self, duty: str, command: Open | Close | Settle | Wholes | FloorAt) -> None:
+        """Propose something that is not on its way yet."""
+        if duty not in self._proposed and (index := self._raft.propose(command)) is not None:
+            self._proposed[duty] = index
+
+    def _propose(self, amount: str, session: int, rate: int, burst: int, held: int) -> None:
+        pending = self._pending.setdefault(amount, set())
+        if session not in pending:
+            pending.add(session)
+            self._raft.propose(Part(amount, session, rate, burst, held))
+
+    def _shut(self, number: int) -> None:
+        self.tenants[number].closing = True
+        self._once(f"close {number}", Close(number))
+
+    def applied(self, now: int, index: int, command: object, done: bool) -> None:
+        """An entry of this term has been carried out."""
+        match command:
+            case Open():
+                session = self._ledger.process(command.process)
+                waiting = self._opening.pop(command.process, None)
+                if session is not None and session.number not in self.tenants:
+                    # No lease yet: it is given with the answer, and counted from there.
+                    tenant = _Tenant(now + self._charter.count_us, session.head)
+                    self.tenants[session.number] = tenant
+                    self._note("session_opens", head=session.head, session=session.number, slot=session.slot)
+                    if waiting is not None:
+                        self._learn(now, session.number, tenant, waiting[1])
+                        tenant.ask, tenant.round = waiting[1], self._raft.confirm()
+                self._proposed.pop(f"open {command.process}", None)
+            case Close():
+                tenant_gone = self.tenants.pop(command.session, None)
+                self._proposed.pop(f"close {command.session}", None)
+                self._dirty.update(dict.fromkeys(tenant_gone.demands if tenant_gone else ()))
+                self._dirty.update(dict.fromkeys(self._wanted()))
+                self._agree(now)
+            case Part():
+                self._parted(now, command, done)
+            case Wholes():
+                self._settle_at = now + self._charter.count_us
+                self._proposed.pop("wholes", None)
+                self._dirty.update(dict.fromkeys(self._wanted()))
+                self._note("wholes", version=self._ledger.version, settled=self._ledger.settled)
+                if not self._ledger.parts:
+                    self._settle_at = now  # nothing that was given under the old ones is left
+            case Settle():
+                self._proposed.pop("settle", None)
+                self._dirty.update(dict.fromkeys(self._wanted()))
+                self._note("wholes", version=self._ledger.version, settled=self._ledger.settled)
+            case FloorAt():
+                self._proposed.pop(f"floor {command.slot}", None)
+                self._dirty.update(dict.fromkeys(self._wanted()))
+
+    def _parted(self, now: int, part: Part, done: bool) -> None:
+        pending = self._pending.get(part.amount, set())
+        pending.discard(part.session)
+        if not pending:
+            self._pending.pop(part.amount, None)
+        self._dirty[part.amount] = None
+        tenant = self.tenants.get(part.session)
+        if done and tenant is not None:
+            lower = tenant.lower.get(part.amount)
+            if lower is not None and part.rate <= lower[0] and part.burst <= lower[1]:
+                del tenant.lower[part.amount]
+            tenant.untold[part.amount] = now
+            self._tell(now, part.session, tenant, [part.amount])
+
+    def _wanted(self) -> Iterable[str]:
+        """All amounts that anybody has or wants."""
+        return {amount for tenant in self.tenants.values() for amount in tenant.demands} | set(
+            self._ledger.parts
+        )
+
+    # ---- wholes ----
+
+    def _agree(self, now: int) -> None:
+        """The least that any live session's file says is the limit of a plan.
+
+        While one has not told a leader what its file says, that may be less than all others: then nothing
+        rises.
+        """
+        whole = all(tenant.wholes for tenant in self.tenants.values())
+        least: dict[str, Pair] = {} if whole else dict(self._ledger.wanted)
+        for tenant in self.tenants.values():
+            for plan, rate, burst in tenant.wholes:
+                old = least.get(plan, (rate, burst))
+                least[plan] = min(rate, old[0]), min(burst, old[1])
+        if least and {**self._ledger.wanted, **least} != self._ledger.wanted:
+            told = {**self._ledger.wanted, **least}
+            self._once("wholes", Wholes(tuple((plan, *pair) for plan, pair in sorted(told.items()))))
+
+    # ---- time ----
+
+    def tick(self, now: int) -> None:
+        """Answer what is confirmed, close what has run out, tell again, divide."""
+        if not self._raft.serving or self._raft.term != self.term:
+            return
+        confirmed = self._raft.confirmed
+        for number, tenant in self.tenants.items():
+            if tenant.ask is not None and confirmed >= tenant.round and not tenant.closing:
+                ask, tenant.ask = tenant.ask, None
+                # Counted from here, after it was given; the holder counts from before it asked.
+                tenant.until = now + self._charter.count_us
+                self._answer(tenant.head, ask, Status.RENEWED, number)
+            elif now > tenant.until and not tenant.closing:
+                self._note("session_expired", head=tenant.head, session=number)
+                self._shut(number)
+        stated = all(tenant.wholes for tenant in self.tenants.values())
+        if not self._ledger.settled and now >= self._settle_at and stated:
+            self._once("settle", Settle(self._ledger.version))
+        if "wholes" not in self._proposed:
+            self._agree(now)
+        # One amount is divided again once the entries of the last time are carried out.
+        due = [amount for amount in self._dirty if amount not in self._pending]
+        for amount in due[:MOST_DIVIDED]:
+            del self._dirty[amount]
+            self._divide(now, amount)
+        if now >= self._retell_at:
+            self._retell_at = now + RETELL_US
+            for number, tenant in self.tenants.items():
+                late = [amount for amount, said in tenant.untold.items() if now - said >= RETELL_US]
+                if late:
+                    self._tell(now, number, tenant, late)
+
+    # ---- dividing ----
+
+    def _divide(self, now: int, amount: str) -> None:
+        """Ask for what is too much, give what is too little as far as there is room."""
+        ledger, plan = self._ledger, plan_of(amount)
+        stakes = ledger.parts.get(amount, {})
+        most = ledger.leasable(plan)
+        floor = self._charter.floor(*ledger.wholes.get(plan, (0, 0)))[1]
+        claims: dict[int, Claim] = {}
+        for number, tenant in self.tenants.items():
+            demand, stake = tenant.demands.get(amount), stakes.get(number)
+            if tenant.closing or (demand is None and stake is None):
+                continue
+            has = (stake.rate, stake.burst) if stake is not None else (0, 0)
+            own = floor if ledger.sessions[number].slot >= 0 else 0
+            need = max(0, tenant.quantum - own)
+            claims[number] = Claim(
+                0 if demand is None else demand.rate, 1 if demand is None else demand.worth, has, need
+            )
+        # What a session that is being closed still has is not to be had yet.
+        shut = [stake for number, stake in stakes.items() if number not in claims]
+        rate = max(0, most[0] - sum(stake.rate for stake in shut))
+        burst = max(0, most[1] - sum(stake.burst for stake in shut))
+        targets = divide(rate, burst, claims)
+        room_rate, room_burst = ledger.room(amount)
+        for number in sorted(targets, key=lambda n: (-claims[n].worth, n)):
+            target, tenant, stake = targets[number], self.tenants[number], stakes.get(number)
+            has = claims[number].has
+            if has[0] > target[0] or has[1] > target[1] + most[1] // SLACK:
+                lower = min(has[0], target[0]), min(has[1], target[1])
+                if tenant.lower.get(amount) != lower:
+                    tenant.lower[amount] = lower
+                    tenant.untold[amount] = now
+                    self._tell(now, number, tenant, [amount])
+                continue
+            tenant.lower.pop(amount, None)
+            more = max(0, min(target[0] - has[0], room_rate)), max(0, min(target[1] - has[1], room_burst))
+            if more[0] or more[1] > most[1] // SLACK:
+                room_rate, room_burst = room_rate - more[0], room_burst - more[1]
+                version = stake.version if stake is not None else 0
+                self._propose(amount, number, has[0] + more[0], has[1] + more[1], version)
+
+    def _tell(self, now: int, number: int, tenant: _Tenant, amounts: Iterable[str]) -> None:
+        """What the ledger says of some parts, or what is asked of their holder."""
+        session, orders = self._ledger.sessions.get(number), list[Order]()
+        for amount in list(amounts):
+            stake = self._ledger.parts.get(amount, {}).get(number)
+            if stake is None:
+                tenant.untold.pop(amount, None)
+                tenant.lower.pop(amount, None)
+                continue
+            tenant.untold[amount] = now
+            lower = tenant.lower.get(amount)
+            rate, burst = lower if lower is not None else (stake.rate, stake.burst)
+            orders.append(Order(amount, stake.version, rate, burst, lower is not None))
+        if session is not None:
+            for first in range(0, len(orders), MOST_ORDERS):
+                part = tuple(orders[first : first + MOST_ORDERS])
+                self._out.append((tenant.head, Orders(session.process, number, part)))
+
+    # ---- what staff see ----
+
+    def lease(self, now: int, number: int) -> dict[str, float | str]:
+        """Until when a session is counted, in seconds from now, and whether it is being closed."""
+        tenant = self.tenants[number]
+        left = round(max(0, tenant.until - now) / 1e6, 2)
+        return {"counted_s": left} | ({"why": "its end is being written down"} if tenant.closing else {})
+
+    def wish(self, now: int, amount: str, number: int) -> dict[str, float | str]:
+        """What a session wants and uses of an amount, and why it has not that."""
+        tenant = self.tenants[number]
+        demand = tenant.demands.get(amount)
+        told: dict[str, float | str] = {
+            "wanted": demand.rate / 1000 if demand is not None else 0.0,
+            "used": demand.used / 1000 if demand is not None else 0.0,
+        }
+        if amount in tenant.lower:
+            told["why"] = "asked to give some up"
+        elif amount in tenant.untold:
+            told["why"] = "told, and not yet in its book"
+        return told
+
+    def _note(self, event: str, **fields: str | int | float) -> None:
+        self._notes.append(Note(event, tuple(fields.items())))
--- a/marllift/interface.py
+++ b/marllift/interface.py
@@ -142,6 +142,7 @@
     max_hold_off_us: int = 0
     shards: int = 0  # counted from 0; 0: not told
     clients_mark: bool = False  # their repeats
+    fleet: bool = False  # what all gateways share is divided among them as they go (Shares)
     appointments: bool = True  # who is refused where a shard is away is told a place in its book
     report_fields: tuple[str, ...] = field(default=())
 
@@ -285,8 +286,19 @@
     settings: Settings
 
 
+@dataclass(slots=True, frozen=True)
+class Shares:
+    """What the fleet lets this gateway spend until a time, and without any lease: rates in units a second,
+    bursts in units."""
+
+    until_us: int
+    parts: tuple[tuple[str, int, float, float], ...] = ()  # plan, volume, rate, burst: the changed ones
+    floors: tuple[tuple[str, float, float], ...] | None = None  # of each volume of a plan; None: as before
+    anew: bool = False  # parts that are not named are nothing
+
+
 Event = (
-    Maintenance | Overlap | NodeList | Request | Started | Outcome | ClientGone | TimerFired
+    Shares | Maintenance | Overlap | NodeList | Request | Started | Outcome | ClientGone | TimerFired
     | ProbeResult | PeerMessage | Retune
 )
 
@@ -296,11 +308,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt; ``patience_us`` 0 waits until the client gives up."""
+    """Start an attempt; ``patience_us`` 0 waits until the client gives up.  Not begun by ``before_us``, it is
+    moot: what it was to spend was this gateway's until then; 0 is any time."""
 
     request: int
     node: NodeId
     patience_us: int = 0
+    before_us: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/marllift/ledger.py
@@ -0,0 +1,281 @@
+"""The ledger: who may spend how much of what, as one order of entries makes it, the same at every keeper.
+
+Nothing here knows a clock.  An entry that would make the parts and floors of one amount sum to more than the
+whole, or that rests on what is no longer so, changes nothing, whoever proposed it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .charter import Charter
+from .messages import Close, Command, FloorAt, Forget, Open, Part, Settle, Wholes
+
+Pair = tuple[int, int]  # rate and burst, in thousandths
+
+
+def plan_of(amount: str) -> str:
+    """The plan of an amount, which is named PLAN/VOLUME."""
+    return amount.rpartition("/")[0]
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """One process of one head, from its opening to its close."""
+
+    number: int
+    head: str
+    process: int
+    slot: int = -1  # of its floor
+
+
+@dataclass(slots=True, eq=False)
+class Slot:
+    """One head's floor, bound to its store for good.  Its holder goes by one of ``versions``."""
+
+    head: str
+    store: str
+    versions: list[int]
+
+
+@dataclass(slots=True, eq=False)
+class Stake:
+    """What one session may spend of one amount."""
+
+    rate: int
+    burst: int
+    version: int
+
+
+class _Dump(msgspec.Struct):
+    """The whole ledger as it is kept."""
+
+    version: int
+    wholes: dict[str, Pair]
+    wanted: dict[str, Pair]
+    settled: bool
+    past: dict[int, dict[str, Pair]]
+    sessions: list[tuple[int, str, int, int]]
+    slots: dict[int, tuple[str, str, list[int]]]
+    parts: dict[str, dict[int, tuple[int, int, int]]]
+
+
+@dataclass(slots=True, eq=False)
+class Ledger:
+    """The state that the log makes."""
+
+    charter: Charter
+    version: int = 0  # index of the entry that made the wholes what they are
+    wholes: dict[str, Pair] = field(default_factory=dict)  # in force, by plan
+    wanted: dict[str, Pair] = field(default_factory=dict)  # what the files say
+    settled: bool = True  # both are the same
+    sessions: dict[int, Session] = field(default_factory=dict)
+    slots: dict[int, Slot] = field(default_factory=dict)
+    parts: dict[str, dict[int, Stake]] = field(default_factory=dict)
+    _past: dict[int, dict[str, Pair]] = field(default_factory=dict)  # wholes that a slot may go by
+    _floors: dict[str, Pair] = field(default_factory=dict)  # all of a plan's, reckoned when first wanted
+    _sums: dict[str, Pair] = field(default_factory=dict)  # of an amount's parts
+
+    # ---- reading ----
+
+    def process(self, process: int) -> Session | None:
+        """The session of one process."""
+        return next((item for item in self.sessions.values() if item.process == process), None)
+
+    def floors(self, plan: str) -> Pair:
+        """What is set aside for all floors of one plan: each slot's largest that its holder may go by."""
+        if (found := self._floors.get(plan)) is None:
+            now = self.charter.floor(*self.wholes.get(plan, (0, 0)))
+            rate = burst = 0
+            for number in range(self.charter.most_heads):
+                slot = self.slots.get(number)
+                pairs = [now]
+                for version in slot.versions if slot is not None else []:
+                    pairs.append(self.charter.floor(*self._past.get(version, {}).get(plan, (0, 0))))
+                rate += max(pair[0] for pair in pairs)
+                burst += max(pair[1] for pair in pairs)
+            found = self._floors[plan] = rate, burst
+        return found
+
+    def leasable(self, plan: str) -> Pair:
+        """What may be given in parts, of one amount of a plan."""
+        whole, floors = self.wholes.get(plan, (0, 0)), self.floors(plan)
+        return max(0, whole[0] - floors[0]), max(0, whole[1] - floors[1])
+
+    def sums(self, amount: str) -> Pair:
+        """What is given of one amount."""
+        if (found := self._sums.get(amount)) is None:
+            stakes = self.parts.get(amount, {}).values()
+            found = self._sums[amount] = (
+                sum(stake.rate for stake in stakes), sum(stake.burst for stake in stakes)
+            )  # fmt: skip
+        return found
+
+    def room(self, amount: str) -> Pair:
+        """What more may be given of one amount; under zero after its whole was lowered."""
+        most, given = self.leasable(plan_of(amount)), self.sums(amount)
+        return most[0] - given[0], most[1] - given[1]
+
+    def floor_of(self, slot: int, plan: str) -> Pair:
+        """The largest floor that the holder of a slot may go by."""
+        found = self.slots.get(slot)
+        pairs = [(0, 0)]
+        for version in found.versions if found is not None else []:
+            pairs.append(self.charter.floor(*self._past.get(version, {}).get(plan, (0, 0))))
+        return max(pair[0] for pair in pairs), max(pair[1] for pair in pairs)
+
+    # ---- the log ----
+
+    def apply(self, index: int, command: Command) -> bool:
+        """Carry out one entry; False where it changes nothing."""
+        match command:
+            case Open():
+                return self._open(index, command)
+            case Close():
+                return self._close(command.session)
+            case Part():
+                return self._part(index, command)
+            case Wholes():
+                return self._wholes(index, command)
+            case Settle():
+                return self._settle(index, command.version)
+            case FloorAt():
+                return self._floor_at(command)
+            case Forget():
+                return self._forget(command.head)
+        return False
+
+    def _open(self, index: int, command: Open) -> bool:
+        if self.process(command.process) is not None:
+            return False
+        slot = self._slot(command.head, command.store) if command.store else -1
+        self.sessions[index] = Session(index, command.head, command.process, slot)
+        return True
+
+    def _slot(self, head: str, store: str) -> int:
+        """The floor bound to a store, or a free one bound to it now; -1 where none is free."""
+        free = -1
+        for number in range(self.charter.most_heads):
+            slot = self.slots.get(number)
+            if slot is None:
+                free = number if free < 0 else free
+            elif (slot.head, slot.store) == (head, store):
+                return number
+        if free >= 0:
+            self.slots[free] = Slot(head, store, [self.version])
+            self._past[self.version] = self.wholes
+            self._floors.clear()
+        return free
+
+    def _close(self, number: int) -> bool:
+        if self.sessions.pop(number, None) is None:
+            return False
+        for amount in [amount for amount, stakes in self.parts.items() if number in stakes]:
+            self._drop(amount, number)
+        return True
+
+    def _drop(self, amount: str, session: int) -> None:
+        stakes = self.parts[amount]
+        del stakes[session]
+        self._sums.pop(amount, None)
+        if not stakes:
+            del self.parts[amount]
+
+    def _part(self, index: int, command: Part) -> bool:
+        amount, session = command.amount, command.session
+        stake = self.parts.get(amount, {}).get(session)
+        rate, burst, held = (stake.rate, stake.burst, stake.version) if stake is not None else (0, 0, 0)
+        # What it rests on has changed since, or its session is over: another entry came first.
+        if session not in self.sessions or command.held != held or min(command.rate, command.burst) < 0:
+            return False
+        room = self.room(amount)
+        # The one place where more is given: never beyond the whole, whatever the leader thought.
+        if command.rate - rate > max(0, room[0]) or command.burst - burst > max(0, room[1]):
+            return False
+        if not command.rate and not command.burst:
+            if stake is not None:
+                self._drop(amount, session)
+            return stake is not None
+        self.parts.setdefault(amount, {})[session] = Stake(command.rate, command.burst, index)
+        self._sums.pop(amount, None)
+        return True
+
+    def _wholes(self, index: int, command: Wholes) -> bool:
+        """What is less holds for whatever is given from here on; what is more has to be settled first."""
+        wanted = {plan: (rate, burst) for plan, rate, burst in command.wholes}
+        if wanted == self.wanted:
+            return False
+        self.wanted = wanted
+        lower = dict(self.wholes)
+        for plan, (rate, burst) in wanted.items():
+            old = self.wholes.get(plan, (0, 0))
+            lower[plan] = min(rate, old[0]), min(burst, old[1])
+        self._turn(index, lower)
+        return True
+
+    def _settle(self, index: int, version: int) -> bool:
+        if version != self.version or self.settled:
+            return False
+        self._turn(index, {**self.wholes, **self.wanted})
+        return True
+
+    def _turn(self, index: int, wholes: dict[str, Pair]) -> None:
+        self.version, self.wholes = index, wholes
+        self.settled = all(wholes[plan] == pair for plan, pair in self.wanted.items())
+        self._past[index] = wholes
+        for slot in self.slots.values():
+            slot.versions.append(index)  # its holder may go by these from when it hears of them
+        self._forget_past()
+
+    def _floor_at(self, command: FloorAt) -> bool:
+        """The holder goes by no older version any more."""
+        slot = self.slots.get(command.slot)
+        if slot is None or command.version not in slot.versions or slot.versions[0] == command.version:
+            return False
+        slot.versions = [version for version in slot.versions if version >= command.version]
+        self._forget_past()
+        return True
+
+    def _forget_past(self) -> None:
+        used = {version for slot in self.slots.values() for version in slot.versions} | {self.version}
+        self._past = {version: wholes for version, wholes in self._past.items() if version in used}
+        self._floors.clear()
+
+    def _forget(self, head: str) -> bool:
+        """A head is gone for good; not one that has a session."""
+        busy = {session.slot for session in self.sessions.values()}
+        gone = [n for n, slot in self.slots.items() if slot.head == head and n not in busy]
+        for number in gone:
+            del self.slots[number]
+        self._forget_past()
+        return bool(gone)
+
+    # ---- keeping ----
+
+    def dump(self) -> bytes:
+        """The whole of it, for a snapshot."""
+        return msgspec.msgpack.encode(
+            _Dump(
+                self.version, self.wholes, self.wanted, self.settled, self._past,
+                [(item.number, item.head, item.process, item.slot) for item in self.sessions.values()],
+                {n: (slot.head, slot.store, slot.versions) for n, slot in self.slots.items()},
+                {
+                    amount: {n: (stake.rate, stake.burst, stake.version) for n, stake in stakes.items()}
+                    for amount, stakes in self.parts.items()
+                },
+            )
+        )  # fmt: skip
+
+    def load(self, state: bytes) -> None:
+        """Become what was dumped; nothing is the beginning."""
+        told = msgspec.msgpack.decode(state, type=_Dump) if state else _Dump(0, {}, {}, True, {}, [], {}, {})
+        self.version, self.wholes, self.wanted = told.version, told.wholes, told.wanted
+        self.settled, self._past = told.settled, told.past
+        self.sessions = {item[0]: Session(*item) for item in told.sessions}
+        self.slots = {n: Slot(*item) for n, item in told.slots.items()}
+        self.parts = {
+            amount: {n: Stake(*stake) for n, stake in stakes.items()} for amount, stakes in told.parts.items()
+        }
+        self._floors, self._sums = {}, {}
--- /dev/null
+++ b/marllift/raft.py
@@ -0,0 +1,533 @@
+"""One order of entries among a few keepers: the replicated log of Raft (Ongaro, Ousterhout 2014).
+
+With pre-votes and a leader that steps down when it hears of no majority (his thesis, 9.6 and 6.2), seats that
+change one at a time (4.1, after an entry of the leader's own term), and confirmed rounds ("read index", 6.4),
+on which leases rest.  Whatever a keeper promises is saved before it is said: the caller writes ``take_save``
+before it sends ``take_out``.  A seat is a name and its store, as what a keeper has promised lies in that
+store.
+
+Nothing here sends, writes or reads a clock; the same calls give the same answers.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .messages import Append, Appended, Command, Entry, Install, Lead, Message, Noop, Seats, Vote, Voted
+
+HEARTBEAT_US = 150_000
+ROUND_US = 20_000  # between two rounds, however many wait for one
+ELECTION_US = 1_000_000  # the least time without a leader before one stands; the most is twice that
+RESEND_US = 300_000  # without an answer to entries
+INSTALL_US = 2_000_000  # between two whole ledgers for one keeper
+MOST_ENTRIES, MOST_BYTES = 64, 900  # of one message, as far as one entry is not larger
+KEEP = 512  # entries, from which on a log is made short
+
+
+class Broken(Exception):
+    """What never happens while stores keep what they were given: this keeper can be one no longer."""
+
+
+class Role(Enum):
+    """A keeper's part in the current term."""
+
+    FOLLOWER = "follower"
+    STANDS = "stands"  # asks whether it would be elected
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    """The ledger after entry ``index`` of term ``term``, in place of all entries up to there."""
+
+    index: int = 0
+    term: int = 0
+    seats: tuple[str, ...] = ()
+    state: bytes = b""
+
+
+@dataclass(slots=True)
+class RaftSave:
+    """What has changed and is to be written, whole or not at all, before anything more is said."""
+
+    term: int
+    vote: str
+    first: int | None = None  # entries from this index on are those below, and no others
+    entries: tuple[Entry, ...] = ()
+    snapshot: Snapshot | None = None  # and no entry up to its index
+
+
+@dataclass(slots=True, eq=False)
+class _Progress:
+    """What a leader knows of one other keeper."""
+
+    next: int
+    resume: int  # from there again, if what is on its way does not arrive
+    match: int = 0
+    round: int = 0  # the latest that it has acknowledged
+    heard_at: int = 0
+    sent_at: int = 0  # entries
+    installed_at: int | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Raft:
+    """One keeper's replica."""
+
+    seat: str
+    rng: random.Random
+    now: int
+    term: int = 0
+    vote: str = ""
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    log: list[Entry] = field(default_factory=list)  # after the snapshot
+    role: Role = Role.FOLLOWER
+    leader: str = ""  # its seat, as far as known
+    commit: int = 0
+    applied: int = 0
+    may_vote: bool = False  # its store is known to be the latest, and takes writes
+    round: int = 0
+    installed: bool = False  # a snapshot came: the caller loads its state, and says so here
+    _first: int | None = None  # the first entry that is not saved
+    _hard: bool = False  # term or vote are not saved
+    _shorter: bool = False  # the snapshot is not saved
+    _out: list[tuple[str, Message]] = field(default_factory=list)
+    _votes: set[str] = field(default_factory=set)
+    _others: dict[str, _Progress] = field(default_factory=dict)
+    _seats: list[tuple[int, tuple[str, ...]]] = field(default_factory=list)  # by the index they came with
+    _noop: int = 0  # the first entry of this leader's term
+    _round_wanted: bool = False
+    _heard_at: int = 0  # from a leader
+    _election_at: int = 0
+    _beat_at: int = 0
+    _round_at: int = -ROUND_US
+
+    def __post_init__(self) -> None:
+        self.commit = self.applied = self.snapshot.index
+        self._seats = [(self.snapshot.index, self.snapshot.seats)]
+        for place, entry in enumerate(self.log, self.snapshot.index + 1):
+            if isinstance(entry.command, Seats):
+                self._seats.append((place, entry.command.seats))
+        self._heard_at = self.now - ELECTION_US
+        self._rest(self.now)
+
+    # ---- what stands ----
+
+    @property
+    def seats(self) -> tuple[str, ...]:
+        """Who keeps the log, by its latest entry that says so, committed or not."""
+        return self._seats[-1][1]
+
+    @property
+    def last(self) -> int:
+        return self.snapshot.index + len(self.log)
+
+    @property
+    def serving(self) -> bool:
+        """It leads, and an entry of its own term is committed: it knows all that ever was."""
+        return self.role is Role.LEADER and self.commit >= self._noop
+
+    @property
+    def majority(self) -> int:
+        return len(self.seats) // 2 + 1
+
+    @property
+    def next_at(self) -> int:
+        """When ``tick`` has something to do."""
+        return self._beat_at if self.role is Role.LEADER else self._election_at
+
+    def term_at(self, index: int) -> int | None:
+        """The term of an entry; None where it is not here any more, or not yet."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        place = index - self.snapshot.index - 1
+        return self.log[place].term if 0 <= place < len(self.log) else None
+
+    def committed(self) -> Iterator[tuple[int, Command]]:
+        """Entries to apply, each once, in order."""
+        while self.applied < self.commit:
+            self.applied += 1
+            yield self.applied, self.log[self.applied - self.snapshot.index - 1].command
+
+    # ---- what is to be written and said ----
+
+    def take_save(self) -> RaftSave | None:
+        """What is to be written before anything is said; None where nothing changed."""
+        if not (self._hard or self._shorter or self._first is not None):
+            return None
+        save = RaftSave(self.term, self.vote)
+        if self._first is not None:
+            save.first = max(self._first, self.snapshot.index + 1)
+            save.entries = tuple(self.log[save.first - self.snapshot.index - 1 :])
+        if self._shorter:
+            save.snapshot = self.snapshot
+        self._hard = self._shorter = False
+        self._first = None
+        return save
+
+    def take_out(self) -> list[tuple[str, Message]]:
+        """What is to be said, by seat, once the save is written."""
+        found, self._out = self._out, []
+        return found
+
+    # ---- time ----
+
+    def tick(self, now: int) -> None:
+        """Beat as a leader, stand for election as another."""
+        if self.role is Role.LEADER:
+            if now >= self._beat_at:
+                heard = sum(now - other.heard_at < 2 * ELECTION_US for other in self._others.values())
+                if heard + (self.seat in self.seats) < self.majority:
+                    self._follow(now, self.term, "")  # cut off: whoever has a majority is another
+                else:
+                    self._round_wanted = True
+        elif now >= self._election_at:
+            self._rest(now)
+            if self.may_vote and self.seat in self.seats:
+                self._stand(now)
+
+    def _rest(self, now: int) -> None:
+        self._election_at = now + ELECTION_US + int(ELECTION_US * self.rng.random())
+
+    # ---- elections ----
+
+    def _stand(self, now: int, pre: bool = True) -> None:
+        """Ask for votes; first whether there would be any, so that who was cut off disturbs nobody."""
+        self.role = Role.STANDS if pre else Role.CANDIDATE
+        self.leader = ""
+        term = self.term + 1
+        if not pre:
+            self._enter(term, self.seat)
+        self._votes = {self.seat}
+        for seat in self.seats:
+            if seat != self.seat:
+                last = self.term_at(self.last) or 0
+                self._out.append((seat, Vote(self.seat, term, pre, self.last, last)))
+        self._elected(now)
+
+    def _enter(self, term: int, vote: str = "") -> None:
+        self.term, self.vote, self._hard = term, vote, True
+
+    def _elected(self, now: int) -> None:
+        if len(self._votes & set(self.seats)) < self.majority:
+            return
+        if self.role is Role.STANDS:
+            self._stand(now, pre=False)
+        elif self.role is Role.CANDIDATE:
+            self.role, self.leader = Role.LEADER, self.seat
+            self._others = {}
+            self._noop = self.last + 1
+            self._put(Noop())
+            self._arrange(now)
+            self._round_wanted = True
+
+    def _follow(self, now: int, term: int, leader: str) -> None:
+        if term > self.term:
+            self._enter(term)
+        if self.role is Role.LEADER or leader:
+            self._rest(now)
+        self.role, self.leader = Role.FOLLOWER, leader
+        self._others, self._votes, self._round_wanted = {}, set(), False
+
+    def _longer(self, vote: Vote) -> bool:
+        """Whoever stands has all that may be committed."""
+        return (vote.last_term, vote.last_index) >= (self.term_at(self.last) or 0, self.last)
+
+    def _asked(self, now: int, vote: Vote) -> None:
+        if vote.pre:
+            led = self.role is Role.LEADER or now - self._heard_at < ELECTION_US
+            granted = vote.term > self.term and not led and self._longer(vote)
+            self._out.append((vote.seat, Voted(self.seat, vote.term, True, granted)))
+            return
+        if vote.term > self.term:
+            self._follow(now, vote.term, "")
+        granted = vote.term == self.term and self.vote in ("", vote.seat) and self._longer(vote)
+        if granted and not self.vote:
+            self.vote, self._hard = vote.seat, True
+            self._rest(now)
+        self._out.append((vote.seat, Voted(self.seat, self.term, False, granted)))
+
+    def _answered(self, now: int, voted: Voted) -> None:
+        if voted.pre:
+            counts = self.role is Role.STANDS and voted.term == self.term + 1
+        else:
+            if voted.term > self.term:
+                self._follow(now, voted.term, "")
+            counts = self.role is Role.CANDIDATE and voted.term == self.term
+        if counts and voted.granted:
+            self._votes.add(voted.seat)
+            self._elected(now)
+
+    # ---- a leader's side ----
+
+    def propose(self, command: Command) -> int | None:
+        """Put an entry into the log; its index, or None where another leads."""
+        if self.role is not Role.LEADER:
+            return None
+        self._put(command)
+        return self.last
+
+    def reseat(self, now: int, seats: Iterable[str]) -> int | None:
+        """Other seats: one more or one less, and never before the last change is committed."""
+        fresh = tuple(sorted(seats))
+        settled = self._seats[-1][0] <= self.commit
+        if not self.serving or not settled or len(set(fresh) ^ set(self.seats)) != 1 or not fresh:
+            return None
+        index = self.propose(Seats(fresh))
+        self._arrange(now)
+        return index
+
+    def confirm(self) -> int:
+        """The number of a round yet to begin; once ``confirmed`` is as high, this one still led after now."""
+        self._round_wanted = True
+        return self.round + 1
+
+    @property
+    def confirmed(self) -> int:
+        """The latest round that a majority has acknowledged in this term."""
+        rounds = [other.round for seat, other in self._others.items() if seat in self.seats]
+        return self._most(rounds, self.round)
+
+    def _most(self, theirs: list[int], mine: int) -> int:
+        """The largest figure that a majority has reached."""
+        theirs = theirs + [mine] * (self.seat in self.seats)
+        return sorted(theirs, reverse=True)[self.majority - 1] if len(theirs) >= self.majority else 0
+
+    def hand_on(self, seat: str) -> None:
+        """Let another that has all entries stand at once."""
+        other = self._others.get(seat)
+        if self.role is Role.LEADER and other is not None and other.match == self.last:
+            self._out.append((seat, Lead(self.seat, self.term)))
+
+    def match(self, seat: str) -> int:
+        """Up to where another keeper has the log, as this leader knows."""
+        other = self._others.get(seat)
+        return 0 if other is None else other.match
+
+    def heard_of(self, seat: str) -> int | None:
+        """When another keeper last answered this leader."""
+        other = self._others.get(seat)
+        return None if other is None else other.heard_at
+
+    def _put(self, command: Command) -> None:
+        self.log.append(Entry(self.term, command))
+        self._first = self.last if self._first is None else min(self._first, self.last)
+        if isinstance(command, Seats):
+            self._seats.append((self.last, command.seats))
+
+    def _arrange(self, now: int) -> None:
+        """Progress for each other seat, and for no one else."""
+        for seat in self.seats:
+            if seat != self.seat:
+                self._others.setdefault(seat, _Progress(self.last, self.last, heard_at=now))
+        self._others = {seat: other for seat, other in self._others.items() if seat in self.seats}
+
+    def flush(self, now: int) -> None:
+        """At the end of a step: send what is new, and a round where one is wanted."""
+        if self.role is not Role.LEADER:
+            return
+        beat = self._round_wanted and now >= self._round_at + ROUND_US
+        if beat:
+            self._round_wanted = False
+            self.round += 1
+            self._round_at, self._beat_at = now, now + HEARTBEAT_US
+        elif self._round_wanted:
+            self._beat_at = min(self._beat_at, self._round_at + ROUND_US)
+        for seat, other in self._others.items():
+            if other.match < other.next - 1 and now - other.sent_at > RESEND_US:
+                other.next = other.resume
+            if beat or other.next <= self.last:
+                self._replicate(now, seat, other)
+        self._advance()
+
+    def _replicate(self, now: int, seat: str, other: _Progress) -> None:
+        if (term := self.term_at(other.next - 1)) is None:
+            if other.installed_at is None or now - other.installed_at > INSTALL_US:
+                other.installed_at = now
+                kept = self.snapshot
+                self._out.append(
+                    (seat, Install(self.seat, self.term, kept.index, kept.term, kept.seats, kept.state,
+                                   self.round))
+                )  # fmt: skip
+                return
+            # The whole ledger is on its way: a sign of life until it has come.
+            self._out.append((seat, Append(self.seat, self.term, 0, 0, (), 0, self.round)))
+            return
+        first = other.next
+        entries = self._some(first)
+        if entries:
+            other.next, other.sent_at = first + len(entries), now
+        self._out.append(
+            (seat, Append(self.seat, self.term, first - 1, term, entries, self.commit, self.round))
+        )
+
+    def _some(self, first: int) -> tuple[Entry, ...]:
+        found: list[Entry] = []
+        size = 0
+        for entry in self.log[first - self.snapshot.index - 1 :][:MOST_ENTRIES]:
+            size += entry_bytes(entry)
+            if found and size > MOST_BYTES:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def _advance(self) -> None:
+        """What a majority has is committed, if it is of this term (the paper's 5.4.2)."""
+        matches = [other.match for seat, other in self._others.items() if seat in self.seats]
+        reached = self._most(matches, self.last)
+        if reached > self.commit and self.term_at(reached) == self.term:
+            self.commit = reached
+
+    def _acknowledged(self, now: int, told: Appended) -> None:
+        if told.term > self.term:
+            self._follow(now, told.term, "")
+            return
+        other = self._others.get(told.seat)
+        if self.role is not Role.LEADER or told.term < self.term or other is None:
+            return
+        other.heard_at = now
+        other.round = max(other.round, told.round)
+        if told.ok:
+            other.match = max(other.match, told.match)
+            other.resume = other.match + 1
+            other.next = max(other.next, other.resume)
+        else:
+            other.next = other.resume = max(other.match, min(told.match, self.last)) + 1
+        self._advance()
+        if self.seat not in self.seats and self.commit >= self._seats[-1][0]:
+            self._follow(now, self.term, "")  # it has led until its own seat was gone
+
+    # ---- a follower's side ----
+
+    def receive(self, now: int, message: Message) -> None:
+        """Take in one message.  Who may not vote makes no promise of any kind."""
+        if isinstance(message, (Append, Install)) and message.term >= self.term:
+            self._heard_at = now
+        if not self.may_vote:
+            if isinstance(message, (Append, Install)) and message.term >= self.term:
+                self.leader = message.seat
+            return
+        match message:
+            case Vote():
+                self._asked(now, message)
+            case Voted():
+                self._answered(now, message)
+            case Append():
+                self._append(now, message)
+            case Appended():
+                self._acknowledged(now, message)
+            case Install():
+                self._install(now, message)
+            case Lead():
+                if message.term == self.term and self.seat in self.seats and self.role is Role.FOLLOWER:
+                    self._stand(now, pre=False)
+
+    def _append(self, now: int, told: Append) -> None:
+        if told.term < self.term:
+            self._out.append((told.seat, Appended(self.seat, self.term, False, 0, 0)))
+            return
+        if self.role is Role.LEADER and told.term == self.term:
+            raise Broken(f"{told.seat} leads term {self.term} too")
+        self._follow(now, told.term, told.seat)
+        mine = self.term_at(told.prev_index)
+        if mine != told.prev_term:
+            if told.prev_index <= self.snapshot.index:
+                most = self.commit  # what is committed is the same everywhere
+            elif mine is None:
+                most = self.last
+            else:
+                most = told.prev_index - 1
+            ok = False
+            if told.prev_index < self.snapshot.index:
+                ok = self._overlaps(told)
+            if not ok:
+                self._out.append((told.seat, Appended(self.seat, self.term, False, most, told.round)))
+                return
+        for place, entry in enumerate(told.entries, told.prev_index + 1):
+            if place <= self.snapshot.index:
+                continue
+            have = self.term_at(place)
+            if have == entry.term:
+                continue
+            if have is not None:
+                self._cut(place)
+            self._take(place, entry)
+        match = max(told.prev_index + len(told.entries), min(self.commit, told.commit))
+        self.commit = max(self.commit, min(told.commit, match))
+        self._out.append((told.seat, Appended(self.seat, self.term, True, match, told.round)))
+
+    def _overlaps(self, told: Append) -> bool:
+        """Entries that reach past a snapshot of ours: all up to the snapshot is the same everywhere."""
+        return told.prev_index + len(told.entries) > self.snapshot.index > 0 and told.prev_index > 0
+
+    def _cut(self, place: int) -> None:
+        """Entries from there on are another leader's, and were never committed."""
+        if place <= self.commit:
+            raise Broken(f"entry {place} of the log differs, and it is committed up to {self.commit}")
+        del self.log[place - self.snapshot.index - 1 :]
+        self._first = place if self._first is None else min(self._first, place)
+        while self._seats[-1][0] >= place and len(self._seats) > 1:
+            self._seats.pop()
+
+    def _take(self, place: int, entry: Entry) -> None:
+        if place != self.last + 1:
+            raise Broken(f"entry {place} after {self.last}")
+        self.log.append(entry)
+        self._first = place if self._first is None else min(self._first, place)
+        if isinstance(entry.command, Seats):
+            self._seats.append((place, entry.command.seats))
+
+    def _install(self, now: int, told: Install) -> None:
+        if told.term < self.term:
+            self._out.append((told.seat, Appended(self.seat, self.term, False, 0, 0)))
+            return
+        self._follow(now, told.term, told.seat)
+        if told.index > self.commit:
+            same = self.term_at(told.index) == told.at_term
+            rest = self.log[told.index - self.snapshot.index :] if same else []
+            self.snapshot = Snapshot(told.index, told.at_term, told.seats, told.state)
+            self.log = rest
+            self.commit = told.index
+            self.applied = told.index
+            self.installed = self._shorter = True
+            self._first = told.index + 1
+            self._seats = [(told.index, told.seats), *(s for s in self._seats if s[0] > told.index and same)]
+        match = max(told.index, 0)
+        self._out.append((told.seat, Appended(self.seat, self.term, True, match, told.round)))
+
+    def shorten(self, state: bytes) -> None:
+        """Put the ledger as it is after the latest entry applied in place of all up to there."""
+        index, term = self.applied, self.term_at(self.applied)
+        if index == self.snapshot.index or term is None:
+            return
+        seats = next(seats for at, seats in reversed(self._seats) if at <= index)
+        del self.log[: index - self.snapshot.index]
+        self.snapshot = Snapshot(index, term, seats, state)
+        self._seats = [(index, seats), *(item for item in self._seats if item[0] > index)]
+        self._shorter = True
+
+    def stop(self, now: int) -> None:
+        """The store takes no more writes: no promise is made, and none that was not kept is told."""
+        self._follow(now, self.term, "")
+        self.may_vote = False
+        self._out.clear()
+        self._hard = self._shorter = False
+        self._first = None
+
+
+def entry_bytes(entry: Entry) -> int:
+    """About the bytes that an entry takes on the wire."""
+    return 48 + sum(len(item) for item in _texts(entry.command))
+
+
+def _texts(command: Command) -> Iterator[str]:
+    for name in command.__struct_fields__:
+        value = getattr(command, name)
+        if isinstance(value, str):
+            yield value
+        elif isinstance(value, tuple):
+            yield "x" * (32 * len(value))
--- a/marllift/state.py
+++ b/marllift/state.py
@@ -5,29 +5,28 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from .amounts import Store
 from .interface import NodeId, Plan, RequestClass
 
 
 @dataclass(slots=True, eq=False)
 class Volume:
-    """What is left of a volume's reserve, share and limit at this gateway."""
+    """What is left of a volume's reserve and share at this gateway, and its store under a limit."""
 
     plan: Plan
     mounts: float
     at: int
     reserve: float
     share: float
-    limit: float
+    limit: Store
     jobs: int = 0
 
-    def refill(self, now: int, most_units: float, lives: int) -> None:
-        """What has come into its stores since; beside another process of the gateway half of a limit's."""
+    def refill(self, now: int, most_units: float) -> None:
+        """What has come into its stores since."""
         plan, span, self.at = self.plan, (now - self.at) / 1e6, now
         mine = span / self.mounts**0.5  # between the even part, as use is uneven, and the whole
         self.reserve = min(plan.reserve + most_units, self.reserve + plan.reserve * mine)
         self.share = min(plan.rate * 2, self.share + plan.rate * 2 * mine)
-        fill = span * plan.limit / self.mounts / lives
-        self.limit = min(plan.limit_burst / self.mounts, self.limit + fill)
 
 
 @dataclass(slots=True, eq=False)
@@ -57,6 +56,7 @@
     chain: Chain | None
     most: int  # attempts, by the settings that it was taken under
     attempts: int = 0
+    before: int = 0  # its units were this gateway's to spend until then; 0: at any time
     out: bool = False
     done: bool = False
     sent_at: int = 0
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -290,11 +290,11 @@
     rig.feed(api.Overlap(False))
     assert room(rig, book) == half, "what the other has sent counts for a window yet"
     capped = rig.gateway._volume(api.Request(99, 0, 0, plan=1, volume=5), rig.gateway.set)
-    capped.limit = 0.0
+    capped.limit.units = 0.0
     rig.pass_time(SEC // 10)
     rig.feed()
     rig.gateway._refill(capped)
-    assert capped.limit == 1.0, "half of 20 a second"
+    assert capped.limit.units == 1.0, "half of 20 a second"
     rig.pass_time(2 * SEC)
     rig.feed()
     assert rig.gateway.lives == 1 and room(rig, book) > 2 * half
