--- a/gaugesail/lab/fleet.py
+++ b/gaugesail/lab/fleet.py
@@ -29,6 +29,7 @@
 SECOND = 1_000_000
 NODE = b"node-0"
 WANT_US = 100_000
+AUDIT_US = 20_000
 SERVE_US = 1_000
 INBOX = 400  # messages that wait while a head sleeps; the rest is lost
 START_US = 1_700_000_000 * SECOND
@@ -84,7 +85,7 @@
 class Judge:
     """One volume's store as one mind would keep it, by what reached the nodes.
 
-    While the whole changes the larger figure holds for it, until ``until``.
+    When the whole is lowered, the larger figure holds until what was given under it has run out.
     """
 
     rate: float
@@ -94,11 +95,34 @@
     least: float = 0.0
     spent: float = 0.0
     overs: int = 0
+    later: list[tuple[int, float, float]] = field(default_factory=list)  # from when, rate and burst
 
     def __post_init__(self) -> None:
         self.units = self.burst
 
+    def change(self, now: int, limit: Limit) -> None:
+        """Another whole: more holds at once, less once it is settled."""
+        self.fill(now)
+        if limit.rate < self.rate:
+            self.later.append((1 << 62, limit.rate, limit.burst))
+        else:
+            self.units += limit.burst - self.burst
+            self.rate, self.burst = limit.rate, limit.burst
+            self.later = []
+
+    def settle(self, at: int) -> None:
+        """All heads have heard of the latest whole: it holds from then on."""
+        if self.later:
+            self.later = [(at, *self.later[-1][1:])]
+
     def fill(self, now: int) -> None:
+        while self.later and self.later[0][0] <= now:
+            at, rate, burst = self.later.pop(0)
+            self._fill(max(at, self.at))
+            self.rate, self.burst, self.units = rate, burst, min(self.units, burst)
+        self._fill(now)
+
+    def _fill(self, now: int) -> None:
         self.units = min(self.burst, self.units + (now - self.at) / SECOND * self.rate)
         self.at = now
 
@@ -173,18 +197,29 @@
             pair = round(self.limit.rate * 1000), round(self.limit.burst * 1000)
             self.node.state({"plan": pair}, round(self.world.most_units * 1000))
 
-    def retune(self, limit: Limit) -> None:
-        """Its file says another limit."""
+    def retune(self, limit: Limit, then: Callable[[], None] = lambda: None) -> None:
+        """Its file says another limit; asleep, it hears of it when it wakes."""
         self.limit = limit
-        if self.node is not None and not self.asleep:
-            self.tell_limit()
-            assert self.gateway is not None
-            self._carry(self.gateway.handle(self.now(), [api.Retune(self.world.settings(limit))]))
+        life = self.life
+
+        def heard() -> None:
+            if life == self.life and self.gateway is not None:
+                self.tell_limit()
+                self._carry(self.gateway.handle(self.now(), [api.Retune(self.world.settings(limit))]))
+            then()
+
+        if self.asleep or self._late:
+            self._late.append(heard)
+        else:
+            heard()
 
     def die(self) -> None:
         self.node = self.gateway = None
         self.asleep = False
-        self._late.clear()
+        late, self._late = self._late, deque()
+        for thing in late:
+            if thing.__name__ == "heard":  # its file: the next process reads it
+                thing()
         self.open.clear()
 
     def sleep(self) -> None:
@@ -388,6 +423,12 @@
         self.pack = msgspec.msgpack.Encoder().encode
         self.weigh = False  # whether messages' bytes are counted
         self.heads = {name: LabHead(self, name, drift * self.rng.uniform(-1, 1)) for name in names}
+        self.twins: dict[str, LabHead] = {}  # second processes under names that are taken
+
+    def rename(self, head: LabHead, name: str) -> None:
+        """A head is called otherwise from its next start on."""
+        self.heads = {name if item is head else old: item for old, item in self.heads.items()}
+        head.name = name
 
     def settings(self, limit: Limit) -> api.Settings:
         return api.Settings(
@@ -436,9 +477,12 @@
             self.at(self.now + late, lambda: self._deliver(head.name, to, process, message))
 
     def _deliver(self, sender: str, to: str, process: int, message: Message) -> None:
+        found = [twin for twin in self.twins.values() if twin.name == to and twin.node is not None]
         head = self.heads.get(to)
         if head is not None and head.node is not None:
-            head.hear(sender, process, message)
+            found.append(head)
+        if found:  # of two under one name either may be the one that is reached
+            self.rng.choice(found).hear(sender, process, message)
 
     def cut(self, side: set[str], both: bool = True, on: bool = True) -> None:
         """Between some heads and all others: what they say does not arrive, or nothing either way."""
@@ -461,14 +505,33 @@
         self.arrivals.append((self.now, head.name, units))
 
     def ask(self, name: str, units: float, volume: int = 1) -> None:
+        """A client asks a head, or one of those that go under its name."""
         self.volume_of[self.next_request] = volume
         self.counts["asked"] += 1
-        self.heads[name].ask(units, volume)
+        first = name.partition(".")[0]
+        found = [head for head in self.heads.values() if head.name.partition(".")[0] == first]
+        found += [twin for twin in self.twins.values() if twin.name == name and twin.node is not None]
+        self.rng.choice(found).ask(units, volume)
 
     @property
     def overspent(self) -> int:
         return sum(judge.overs for judge in self.judges.values())
 
+    def audit(self) -> None:
+        """All that may be spent now, by each head's own clock and books, asleep or not, fits the whole."""
+        alive = [*self.heads.values(), *self.twins.values()]
+        for volume, judge in self.judges.items():
+            rate = burst = 0.0
+            for head in alive:
+                if head.gateway is not None:
+                    mine = head.gateway.amounts.rights(head.now(), "plan", volume)
+                    rate, burst = rate + mine[0], burst + mine[1]
+            most = max([judge.rate, *(item[1] for item in judge.later)])
+            judge.fill(self.now)
+            if rate > most + 1e-3 or burst > max([judge.burst, *(item[2] for item in judge.later)]) + 1e-3:
+                self.counts["rights_over"] += 1
+        self.at(self.now + AUDIT_US, self.audit)
+
     def used(self, since: int, until: int) -> float:
         """Units that reached the nodes within a span, of what the whole allows in it."""
         units = sum(units for at, _, units in self.arrivals if since <= at < until)
--- a/marllift/amounts.py
+++ b/marllift/amounts.py
@@ -129,6 +129,12 @@
 
     # ---- limits, the fleet's side ----
 
+    def rights(self, now: int, plan: str, volume: int) -> tuple[float, float]:
+        """The rate and the burst that it may spend of one volume now; for audits."""
+        rate, burst = self._floors.get(plan, (0.0, 0.0))
+        part = self._parts.get((plan, volume), (0.0, 0.0)) if now < self._until else (0.0, 0.0)
+        return rate + part[0], burst + part[1]
+
     def wants(self, now: int) -> list[tuple[str, int, float, float, float]]:
         """Plan, volume, units asked for and sent since the last call, and units saved up, of each volume
         under a limit that was asked for."""
--- a/marllift/fleet.py
+++ b/marllift/fleet.py
@@ -49,6 +49,7 @@
     slot: int = -1
     version: int = 0
     wholes: dict[str, Pair] = {}
+    of_fleet: str = ""  # that gave the floor
 
 
 @dataclass(slots=True)
@@ -90,7 +91,7 @@
         loaded: Loaded | None, seed: int, now: int,
     ) -> None:  # fmt: skip
         self.charter, self.digest, self.name = charter, digest, name
-        self.process, self._rng = process, random.Random(seed)
+        self.process, self._rng, self._born = process, random.Random(seed), now
         self.keeper = name in charter.keepers and loaded is not None
         self.holds_store = loaded is not None
         kept = loaded.kept if loaded is not None else Kept("")
@@ -106,7 +107,7 @@
         self.ledger = Ledger(charter)
         self.raft: Raft | None = None
         self.office: Office | None = None
-        floor = Floor(kept.slot, kept.version, kept.wholes)
+        floor = Floor(kept.slot, kept.version, kept.wholes, kept.of_fleet)
         self.holder = Holder(charter, digest, name, process, kept.store, floor, now, self._rng)
         self._floor_kept = floor
         self._changed = self.holds_store  # the life counts before anything is said
@@ -381,7 +382,9 @@
                     self._note("leads_no_more", term=self.office.term)
                 self.office = None
             elif self.office is None or self.office.term != raft.term:
-                self.office = Office(self.charter, self.digest, self.ledger, raft, now)
+                fleet = self.founding.kept.fleet
+                fresh = now - self._born < self.charter.count_us or len(raft.seats) == 1
+                self.office = Office(self.charter, self.digest, fleet, self.ledger, raft, now, fresh)
                 self._note("leads", term=raft.term)
             if self.office is not None:
                 self.office.tick(now)
@@ -434,6 +437,7 @@
             store: (known.life, known.saves, known.process) for store, known in self.witness.known.items()
         }
         kept.slot, kept.version, kept.wholes = floor.slot, floor.version, floor.wholes
+        kept.of_fleet = floor.fleet
         self._floor_kept = floor
         if raft is not None:
             kept.term, kept.vote = raft.term, raft.vote
--- a/marllift/granting.py
+++ b/marllift/granting.py
@@ -35,6 +35,7 @@
 RETELL_US = 250_000  # an order that its holder's book does not show yet
 MOST_ORDERS = 24  # in one message
 MOST_DIVIDED = 200  # amounts in one step
+COMPLY_US = 1_000_000  # in which who has more than is left gives it up, or is renewed no more
 SLACK = 50  # parts of the whole: a burst that is over by less is left
 
 
@@ -65,12 +66,18 @@
 class Office:
     """The leader's books and duties in one term."""
 
-    def __init__(self, charter: Charter, digest: str, ledger: Ledger, raft: Raft, now: int) -> None:
+    def __init__(
+        self, charter: Charter, digest: str, fleet: str, ledger: Ledger, raft: Raft, now: int, fresh: bool
+    ) -> None:
         self._charter, self._digest, self._ledger, self._raft = charter, digest, ledger, raft
+        self._fleet = fleet
         self.term, self._leader = raft.term, raft.seat.rpartition("#")[0]
         # Whoever led before may have renewed any of these up to the moment at which this term's entry was
         # committed.
         until = now + charter.count_us
+        # And whoever led an earlier fleet of this name, or entries that a store has lost, may have given what
+        # stands nowhere: a keeper that has just started divides nothing for as long.
+        self._quiet_until = until if fresh else 0
         self.tenants = {n: _Tenant(until, session.head) for n, session in ledger.sessions.items()}
         for amount, stakes in ledger.parts.items():
             for number in stakes:
@@ -79,6 +86,7 @@
         self._opening: dict[int, tuple[str, Ask]] = {}  # by process
         self._settle_at = until
         self._dirty: dict[str, None] = dict.fromkeys(ledger.parts)
+        self._over: dict[str, int] = {}  # amounts that are given beyond their whole, and since when
         self._proposed: dict[str, int] = {}  # duties that have an entry on its way
         self._out: list[tuple[str, Message]] = []
         self._notes: list[Note] = []
@@ -105,6 +113,12 @@
             self._answer(sender, ask, Status.CHARTER)
             return
         session = self._ledger.process(ask.process)
+        if ask.fleet == self._fleet and ask.seen > self._raft.last:
+            # This log has lost entries: the stores are older than the fleet.  What the holder has by those is
+            # not renewed; told so it gives up all, and may then have what this log says.
+            self._note("stores_are_old", head=sender, seen=ask.seen, last=self._raft.last)
+            self._answer(sender, ask, Status.UNKNOWN)
+            return
         if session is None:
             if ask.session:
                 self._answer(sender, ask, Status.UNKNOWN)
@@ -163,7 +177,7 @@
         slot = found.slot if found is not None else -1
         self._out.append(
             (to, Answer(ask.process, ask.number, status, session, self.term, self._leader, slot,
-                        ledger.version, wholes))
+                        ledger.version, wholes, self._fleet))
         )  # fmt: skip
 
     # ---- the log ----
@@ -265,9 +279,12 @@
         """Answer what is confirmed, close what has run out, tell again, divide."""
         if not self._raft.serving or self._raft.term != self.term:
             return
+        if now >= self._quiet_until > 0:
+            self._quiet_until = 0
+            self._dirty.update(dict.fromkeys(self._wanted()))
         confirmed = self._raft.confirmed
         for number, tenant in self.tenants.items():
-            if tenant.ask is not None and confirmed >= tenant.round and not tenant.closing:
+            if tenant.ask is not None and confirmed >= tenant.round and self._may_renew(now, number, tenant):
                 ask, tenant.ask = tenant.ask, None
                 # Counted from here, after it was given; the holder counts from before it asked.
                 tenant.until = now + self._charter.count_us
@@ -292,11 +309,26 @@
                 if late:
                     self._tell(now, number, tenant, late)
 
+    def _may_renew(self, now: int, number: int, tenant: _Tenant) -> bool:
+        """Not one that is being closed; nor one that keeps what a lowered whole has no room for: its lease is
+        of the old figure, and runs out.
+        """
+        stale = any(
+            now - self._over.get(amount, now) > COMPLY_US
+            for amount in tenant.lower
+            if number in self._ledger.parts.get(amount, {})
+        )
+        return not tenant.closing and not stale
+
     # ---- dividing ----
 
     def _divide(self, now: int, amount: str) -> None:
         """Ask for what is too much, give what is too little as far as there is room."""
         ledger, plan = self._ledger, plan_of(amount)
+        if min(ledger.room(amount)) < 0:
+            self._over.setdefault(amount, now)
+        else:
+            self._over.pop(amount, None)
         stakes = ledger.parts.get(amount, {})
         most = ledger.leasable(plan)
         floor = self._charter.floor(*ledger.wholes.get(plan, (0, 0)))[1]
@@ -329,7 +361,7 @@
                 continue
             tenant.lower.pop(amount, None)
             more = max(0, min(target[0] - has[0], room_rate)), max(0, min(target[1] - has[1], room_burst))
-            if more[0] or more[1] > most[1] // SLACK:
+            if now >= self._quiet_until and (more[0] or more[1] > most[1] // SLACK):
                 room_rate, room_burst = room_rate - more[0], room_burst - more[1]
                 version = stake.version if stake is not None else 0
                 self._propose(amount, number, has[0] + more[0], has[1] + more[1], version)
@@ -344,13 +376,15 @@
                 tenant.lower.pop(amount, None)
                 continue
             tenant.untold[amount] = now
+            # What is asked for was reckoned from an earlier stake: nobody is told more than it has now.
             lower = tenant.lower.get(amount)
             rate, burst = lower if lower is not None else (stake.rate, stake.burst)
+            rate, burst = min(rate, stake.rate), min(burst, stake.burst)
             orders.append(Order(amount, stake.version, rate, burst, lower is not None))
         if session is not None:
             for first in range(0, len(orders), MOST_ORDERS):
                 part = tuple(orders[first : first + MOST_ORDERS])
-                self._out.append((tenant.head, Orders(session.process, number, part)))
+                self._out.append((tenant.head, Orders(session.process, number, self._fleet, part)))
 
     # ---- what staff see ----
 
--- a/marllift/holder.py
+++ b/marllift/holder.py
@@ -35,6 +35,7 @@
     slot: int = -1
     version: int = 0
     wholes: dict[str, Pair] = field(default_factory=dict)
+    fleet: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,6 +72,7 @@
         self._charter, self._digest, self._head, self._process = charter, digest, head, process
         self._store, self.floor, self._rng = store, floor, rng
         self.session, self.until, self.term, self.leader = 0, 0, 0, ""
+        self._fleet, self._seen = "", 0
         self.book: dict[str, Held] = {}
         self._wants: dict[str, _Want] = {}
         self._wanted_at = now
@@ -81,9 +83,10 @@
         self._changed: dict[str, int] = {}  # parts to tell, by the ask that carried them last
         # Whoever has no store may be a life whose earlier one still holds a lease.
         self._first_at = self._ask_at = now if store else now + charter.count_us
-        self._waits = False  # for an answer
-        self._tries = 0
-        self._whom = ""
+        self._waits: int | None = None  # since when for an answer of the one that is asked
+        self._asked = ""
+        self._whom = ""  # who answered last, or was named as the leader
+        self._mute: set[str] = set()  # who was asked since and did not help
         self.leaving = self.left = False
         self.refused = ""  # why nothing is to be had
         self._out: list[tuple[str, Message]] = []
@@ -116,9 +119,13 @@
         """What it may spend of each volume of a plan without any lease."""
         if self.floor.slot < 0 or not self._store:
             return ()
-        return tuple(
-            (plan, *self._charter.floor(*pair)) for plan, pair in sorted(self.floor.wholes.items())
-        )
+        own = {plan: (rate, burst) for plan, rate, burst in self._wholes}  # by this head's own file
+        found = []
+        for plan, agreed in sorted(self.floor.wholes.items()):
+            mine = own.get(plan, agreed)
+            less = min(agreed[0], mine[0]), min(agreed[1], mine[1])
+            found.append((plan, *self._charter.floor(*less)))
+        return tuple(found)
 
     def take_out(self) -> list[tuple[str, Message]]:
         found, self._out = self._out, []
@@ -141,7 +148,8 @@
             plan: (min(rate, self.floor.wholes[plan][0]), min(burst, self.floor.wholes[plan][1]))
             for plan, (rate, burst) in kept.wholes.items() if plan in self.floor.wholes
         }  # fmt: skip
-        self.floor = Floor(kept.slot if kept.slot == self.floor.slot else -1, kept.version, wholes)
+        same = (kept.slot, kept.fleet) == (self.floor.slot, self.floor.fleet)
+        self.floor = Floor(kept.slot if same else -1, kept.version, wholes, kept.fleet)
         self._frozen = True
         self.again()
 
@@ -183,8 +191,8 @@
         return told < 0 or abs(rate - told) > CHANGED * max(rate, told)
 
     def _hurry(self, now: int) -> None:
-        """Ask soon, but not in step with what has just gone out."""
-        if not self.leaving:
+        """Ask soon, but not right after what has just gone out; one that is answered is followed by this."""
+        if not self.leaving and self._waits is None:
             last = self._sent.get(self._number, now - SOON_US)
             self._ask_at = max(self._first_at, min(self._ask_at, max(now, last + SOON_US)))
 
@@ -207,14 +215,18 @@
             self.notes.append(("fell_to_floor", {"parts": len(self.book), "asked": self._number}))
         if now < self._ask_at or self.left or not keepers:
             return
-        if self._waits and self._sent.get(self._number, 0) + PATIENCE_US <= now:
-            self._tries += 1  # nobody answered: another may
-            self._whom = ""
-        whom = self._whom or keepers[self._tries % len(keepers)]
-        self._ask(now, whom)
+        if self._waits is not None and now - self._waits >= PATIENCE_US:
+            self._mute.add(self._asked)  # another may answer
+            self._whom, self._waits = "", None
+        if not (left := [name for name in keepers if name not in self._mute]):
+            self._mute.clear()
+            left = keepers
+        self._ask(now, self._whom or left[0])
 
     def _ask(self, now: int, whom: str) -> None:
-        self._number += 1
+        self._number, self._asked = self._number + 1, whom
+        if self._waits is None:
+            self._waits = now
         self._sent[self._number] = now  # before it is sent: the lease counts from here
         while len(self._sent) > MOST_ASKS:
             del self._sent[next(iter(self._sent))]
@@ -234,13 +246,11 @@
             self._changed[amount] = self._number
             held.append(line)
         more = len(due) > MOST_TOLD or len(self._changed) > MOST_TOLD
-        self._waits = True
-        wait = SOON_US if more else PATIENCE_US
-        self._ask_at = now + wait
+        self._ask_at = now + (SOON_US if more else PATIENCE_US)
         floor = self.floor
         self._out.append((whom, Ask(
             self._process, self._number, self.session, self._digest, self._store, self._wholes, floor.slot,
-            floor.version, self._quantum, self.term, tuple(demands), tuple(held), self.leaving,
+            floor.version, self._quantum, self._fleet, self._seen, tuple(demands), tuple(held), self.leaving,
         )))  # fmt: skip
 
     # ---- what it is told ----
@@ -250,7 +260,8 @@
         if message.process != self._process:
             return
         if isinstance(message, Orders):
-            if message.session == self.session and self.session and not self.leaving:
+            same = message.session == self.session and message.fleet == self._fleet
+            if same and self.session and not self.leaving:
                 self._ordered(now, message)
         elif (asked := self._sent.get(message.number)) is not None:
             self._told(now, sender, message, asked)
@@ -258,20 +269,19 @@
     def _told(self, now: int, sender: str, answer: Answer, asked: int) -> None:
         newest = answer.number == self._number
         if newest:
-            self._waits, self._tries, self.refused = False, 0, ""
+            self._waits, self.refused = None, ""
         match answer.status:
             case Status.RENEWED:
                 self._renewed(now, sender, answer, asked, newest)
             case Status.UNKNOWN:
-                if self.session and newest:
+                if newest:
                     self._drop()
-                    self._ask_at = now
+                    self._seen, self._ask_at = 0, now
             case Status.ELSEWHERE:
-                self._whom = answer.leader if answer.leader != self._whom else ""
+                self._mute.add(sender)
+                self._whom = answer.leader if answer.leader not in self._mute else ""
                 if newest:
-                    self._waits = True
-                    self._tries += 1
-                    self._ask_at = now if self._whom else now + PATIENCE_US
+                    self._ask_at = now if self._whom else now + PATIENCE_US // 2
             case Status.CHARTER:
                 self.refused = f"{sender}'s file differs in what binds the fleet"
                 self._ask_at = now + self._charter.lease_us
@@ -279,12 +289,18 @@
                 self.left = True
 
     def _renewed(self, now: int, sender: str, answer: Answer, asked: int, newest: bool) -> None:
-        if self.leaving or answer.session < self.session:
+        if self.leaving or (answer.fleet == self._fleet and answer.session < self.session):
             return
+        if answer.fleet != self._fleet:  # numbers of another fleet of this name mean nothing in this one
+            self._drop()
+            self._fleet, self.term, self._seen = answer.fleet, 0, 0
+            if self.floor.fleet != answer.fleet:
+                self.floor, self.floor_dirty = Floor(), bool(self._store)
         if answer.session != self.session:
             self._drop()  # parts of an earlier session are nothing under another
             self.session = answer.session
         self.until = max(self.until, asked + self._charter.lease_us)
+        self._seen = max(self._seen, answer.session, answer.version)
         if self._lapsed and now < self.until:
             self._lapsed = False
             self.notes.append(("lease_held", {"session": self.session, "leader": answer.leader}))
@@ -293,6 +309,7 @@
                 for want in self._wants.values():
                     want.told = -1  # this leader knows nothing yet
             self.term, self.leader, self._whom = answer.term, answer.leader, sender
+            self._mute.clear()
             self._floored(answer)
         for want in self._wants.values():
             if want.carried == answer.number:
@@ -314,11 +331,12 @@
         if answer.version < floor.version and answer.slot == floor.slot:
             return
         wholes = {plan: (rate, burst) for plan, rate, burst in answer.wholes}
-        self.floor = Floor(answer.slot, answer.version, wholes)
+        self.floor = Floor(answer.slot, answer.version, wholes, answer.fleet)
         self.floor_dirty = True
 
     def _ordered(self, now: int, message: Orders) -> None:
         for order in message.orders:
+            self._seen = max(self._seen, order.version)
             have = self.book.get(order.amount)
             rate, burst = order.rate, order.burst
             if have is not None and order.version < have.version:
--- a/marllift/messages.py
+++ b/marllift/messages.py
@@ -224,7 +224,8 @@
     slot: int  # of its floor; -1: none
     floor: int  # version of the wholes that its floor goes by
     quantum: int  # the largest request
-    term: int  # of the leader that it has told all it wants; another one knows nothing yet
+    fleet: str  # whose the session is
+    seen: int  # the latest entry of that fleet's log that it has heard of
     demands: tuple[Demand, ...] = ()
     held: tuple[Held, ...] = ()
     leaving: bool = False
@@ -271,6 +272,7 @@
 
     process: int
     session: int
+    fleet: str
     orders: tuple[Order, ...]
 
 
--- a/marllift/raft.py
+++ b/marllift/raft.py
@@ -340,7 +340,8 @@
         for seat, other in self._others.items():
             if other.match < other.next - 1 and now - other.sent_at > RESEND_US:
                 other.next = other.resume
-            if beat or other.next <= self.last:
+            # Who waits for the whole ledger hears a beat now and then, and no answer to each answer.
+            if beat or (other.next <= self.last and self.term_at(other.next - 1) is not None):
                 self._replicate(now, seat, other)
         self._advance()
 
