--- a/gaugesail/core/clock.py
+++ b/gaugesail/core/clock.py
@@ -11,6 +11,11 @@
 from .ports import Call, Reactor
 
 
+def boot_ns() -> int:
+    """Monotonic, and goes on while the machine sleeps, where the system has such a clock."""
+    return time.clock_gettime_ns(getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC))
+
+
 class ReactorClock:
     """Time from the system, calls from the reactor."""
 
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -170,6 +170,16 @@
         self._events.append(api.Retune(settings))
         self._run()
 
+    def share(self, event: api.Shares) -> None:
+        """What the fleet lets this head spend from now on."""
+        self._events.append(event)
+        self._run()
+
+    def wants(self) -> list[tuple[str, int, float, float, float]]:
+        """Plan, volume, units asked for and sent since the last call, and units saved up, of each volume
+        under a limit that was asked for."""
+        return self._gateway.amounts.wants(self._clock.now_us())
+
     def overlap(self, on: bool) -> None:
         """Another process of this head works beside this one."""
         self._events.append(api.Overlap(on))
@@ -320,7 +330,8 @@
         if entry is not None and action.patience_us:
             deadline = min(deadline, now + action.patience_us)
         # Nothing is sent after the end, past the cap, past the time, or beside an attempt that is out.
-        if entry is None or entry.out is not None or number >= most or deadline <= now:
+        late = 0 < action.before_us <= now
+        if entry is None or entry.out is not None or number >= most or deadline <= now or late:
             self.counts["moot_send"] += 1
             if entry is not None and entry.out is None:
                 entry.attempts += 1
@@ -328,8 +339,9 @@
             return
         order = entry.order
         attempt = Attempt(
-            action.request, number, action.node, order.shard, order.name, order.payload, now, deadline
-        )
+            action.request, number, action.node, order.shard, order.name, order.payload, now, deadline,
+            before_us=action.before_us,
+        )  # fmt: skip
         entry.attempts += 1
         entry.out = attempt
         self._out[(attempt.ticket, number)] = attempt
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -82,9 +82,14 @@
     deadline_us: int
     done: bool = False
     begun: bool = False  # its answer is being passed on: it is final whatever happens to the rest
+    before_us: int = 0  # not begun by then, it is moot: what it spends was ours until then; 0: at any time
     over: bool = False  # the request has its answer: what is not yet written must not be
     connection: Any = None  # the transport's own
 
+    def moot(self, now: int) -> bool:
+        """Asked at the first byte: its request has its answer, or what it spends is no longer this head's."""
+        return self.over or 0 < self.before_us <= now
+
 
 class AttemptSink(Protocol):
     """How a transport reports: each attempt ends once, and may begin to be answered before."""
--- /dev/null
+++ b/gaugesail/fleet/agent.py
@@ -0,0 +1,280 @@
+"""Drives the fleet's decisions in a head: its store, its link, its clock, and its gateway's shares.
+
+In this order, whatever happens: what is to be kept is written; then the gateway hears what it may spend; then
+the others hear what this head says.  Where the write fails, nothing of the rest is done.
+"""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.error import CannotListenError
+
+from marllift import interface as api
+from marllift.fleet import FleetNode, Loaded, Output
+from marllift.holder import Spendable
+from marllift.messages import Forget, Message
+
+from ..core.engine import Engine
+from ..core.ports import Call, Clock, Logger
+from ..http.discovery import BadList, split_address
+from .link import FleetReactor, Link
+from .settings import FleetSettings, digest
+from .store import FleetStore, StoreBusy, StoreFailed
+from .wire import Wire
+
+WANT_US = 100_000  # between two readings of what is asked for here
+AGAIN_US = 300_000  # until a place or a store that another process holds is asked for again
+SWEEP_US = 5_000_000
+LEAST_US = 1_000  # between two ticks
+
+
+class FleetAgent:
+    """One head's place in its fleet, for as long as the process lives."""
+
+    def __init__(
+        self, reactor: FleetReactor, clock: Clock, settings: FleetSettings, log: Logger,
+        process: int | None = None,
+    ) -> None:  # fmt: skip
+        self._reactor, self._clock, self._settings, self._log = reactor, clock, settings, log
+        self.process = process if process is not None else secrets.randbits(62) | 1
+        self.wire = Wire(settings.charter.name, settings.head, self.process, settings.key)
+        self.link = Link(reactor, clock, self.wire, log, self._address, self._heard)
+        self.node: FleetNode | None = None
+        self.address: tuple[str, int] | None = None
+        self._store: FleetStore | None = None
+        self._engine: Engine | None = None
+        self._terms: api.Settings | None = None
+        self._tick: Call | None = None
+        self._tick_at = 0
+        self._want_at = 0
+        self._closed = self._waiting = False
+
+    # ---- life ----
+
+    def start(self, engine: Engine) -> None:
+        """Take the place and the store that the file names; while another process has them, wait."""
+        self._engine, self._terms = engine, engine.settings
+        self._begin()
+
+    def _begin(self) -> None:
+        if self._closed:
+            return
+        try:
+            if self.address is None:
+                self.address = self.link.listen(*self._settings.listen)
+            loaded = self._load()
+        except (CannotListenError, StoreBusy) as error:
+            # The process before this one; nothing of a limit is spent here until it has gone.
+            if not self._waiting:
+                self._waiting = True
+                self._log.warning("fleet_waits", why=str(error))
+            self._clock.call_later(AGAIN_US, self._begin)
+            return
+        settings, now = self._settings, self._clock.now_us()
+        host, port = settings.advertise or self.address
+        self.node = FleetNode(
+            settings.charter, digest(settings.charter), settings.head, f"{host}:{port}", self.process,
+            now // 1000, loaded, secrets.randbits(63), now,
+        )  # fmt: skip
+        self._state()
+        self._log.info(
+            "fleet_begins", fleet=settings.charter.name, head=settings.head, address=f"{host}:{port}",
+            keeper=self.node.keeper, store=loaded is not None, process=self.process,
+        )  # fmt: skip
+        self._want_at = now
+        self._step(lambda node, at: node.tick(at))
+        self._wants()
+        self._sweep()
+
+    def _load(self) -> Loaded | None:
+        """What the store holds; None where there is none, or none that can be used."""
+        if self._settings.folder is None:
+            return None
+        store = FleetStore(self._settings.folder, self._settings.head)
+        try:
+            loaded = store.open()
+        except StoreFailed as error:
+            self._log.error("store_failed", why=str(error))
+            return None
+        finally:
+            for note in store.notes:
+                self._log.error("store_put_aside", **note)
+        self._store = store
+        return loaded
+
+    def retune(self, settings: api.Settings) -> None:
+        """This head's own file says other limits."""
+        self._terms = settings
+        self._state()
+
+    def _state(self) -> None:
+        if self.node is not None and self._terms is not None:
+            wholes = {
+                plan.name: (round(plan.limit * 1000), round(plan.limit_burst * 1000))
+                for plan in self._terms.plans if plan.limit
+            }  # fmt: skip
+            self.node.state(wholes, round(self._terms.most_units * 1000))
+
+    def leave(self) -> None:
+        """This head ends in order."""
+        if self.node is not None and not self.node.holder.leaving:
+            self._log.info("fleet_leaves", head=self._settings.head)
+            self._step(lambda node, now: node.leave(now))
+
+    def close(self) -> None:
+        """Nothing is said or heard any more."""
+        self._closed, self.node = True, None
+        if self._tick is not None and self._tick.active():
+            self._tick.cancel()
+        self.link.close()
+        if self._store is not None:
+            self._store.close()
+
+    # ---- steps ----
+
+    def _heard(self, sender: str, process: int, message: Message) -> None:
+        self._step(lambda node, now: node.receive(now, sender, process, message))
+
+    def _step(self, call: Callable[[FleetNode, int], Output]) -> None:
+        """One step of the decisions, and what it comes to, in its order."""
+        node = self.node
+        if node is None:
+            return
+        now = self._clock.now_us()
+        try:
+            self._carry_out(node, now, call(node, now))
+        except Exception as error:  # a fault of ours must not end the head: it serves on with what it has
+            self._log.error("fleet_raised", error=repr(error))
+            if node.holds_store:  # what half a step promised may not be kept: nothing may rest on it
+                node.store_failed(now, "a step was not carried out")
+        self._plan()
+
+    def _carry_out(self, node: FleetNode, now: int, out: Output) -> None:
+        self._tell(out)
+        if out.save is not None and self._store is not None:
+            try:
+                self._store.write(out.save)
+            except StoreFailed as error:
+                node.store_failed(now, str(error))
+                self._store = None
+                return  # said by the next tick, without what this step was for
+        if out.shares is not None:
+            self._share(out.shares)
+        for to, message in out.sends:
+            if to == self._settings.head:
+                self._clock.call_later(0, lambda m=message: self._heard(self._settings.head, self.process, m))  # type: ignore[misc]
+            else:
+                self.link.send(to, message)
+
+    def _tell(self, out: Output) -> None:
+        for event, fields in out.notices:
+            told = {key: value for key, value in fields.items() if value != ""}
+            loud = event in ("store_failed", "log_broken", "stores_are_old", "store_is_old", "name_taken")
+            (self._log.error if loud else self._log.info)(f"fleet_{event}", **told)
+
+    def _share(self, told: Spendable) -> None:
+        parts = []
+        for amount, rate, burst in told.parts:
+            plan, _, volume = amount.rpartition("/")
+            parts.append((plan, int(volume, 16), rate / 1000, burst / 1000))
+        floors = None
+        if told.floors is not None:
+            floors = tuple((plan, rate / 1000, burst / 1000) for plan, rate, burst in told.floors)
+        assert self._engine is not None
+        self._engine.share(api.Shares(told.until, tuple(parts), floors, told.anew))
+
+    # ---- time ----
+
+    def _plan(self) -> None:
+        node = self.node
+        if node is None or self._closed:
+            return
+        now = self._clock.now_us()
+        at = max(now + LEAST_US, node.next_at)
+        if self._tick is not None and self._tick.active():
+            if self._tick_at <= at:
+                return
+            self._tick.cancel()
+        self._tick_at = at
+        self._tick = self._clock.call_later(at - now, self._due)
+
+    def _due(self) -> None:
+        self._tick = None
+        self._step(lambda node, now: node.tick(now))
+
+    def _wants(self) -> None:
+        if self._closed or self._engine is None or self._terms is None:
+            return
+        worth = {plan.name: max(1, round(plan.price * 1000)) for plan in self._terms.plans}
+        asked = {
+            f"{plan}/{volume:x}": (units, spent, saved, worth.get(plan, 1000))
+            for plan, volume, units, spent, saved in self._engine.wants()
+        }
+        self._step(lambda node, now: node.want(now, asked))
+        self._clock.call_later(WANT_US, self._wants)
+
+    def _sweep(self) -> None:
+        if not self._closed:
+            self.link.sweep()
+            self._clock.call_later(SWEEP_US, self._sweep)
+
+    # ---- the link ----
+
+    def _address(self, name: str) -> tuple[str, int] | None:
+        """Where a head is reached: by this head's own file, or else as it says of itself."""
+        if (found := self._settings.peers.get(name)) is not None:
+            return found
+        told = self.node.members.address(name) if self.node is not None else ""
+        try:
+            return split_address(told) if told else None
+        except BadList:
+            return None
+
+    # ---- operators' calls ----
+
+    def call(self, method: str, path: list[str]) -> tuple[int, str]:
+        """GET members, budgets, link, petitions/N; POST trust-store, forget/NAME."""
+        node = self.node
+        if node is None:
+            return 503, "not in the fleet yet"
+        now = self._clock.now_us()
+        match method, path:
+            case "GET", ["members"]:
+                return 200, json.dumps(node.view_members(now))
+            case "GET", ["budgets"]:
+                return 200, json.dumps(node.view_budgets(now))
+            case "GET", ["link"]:
+                told = {"dropped": dict(self.wire.dropped), **self.link.counts}
+                return 200, json.dumps(told)
+            case "GET", ["petitions", number] if number.isdigit():
+                answer = node.answer(int(number))
+                state: dict[str, Any] = {"known": answer is not None}
+                if answer is not None:
+                    state["done"], state["why"] = answer
+                return 200, json.dumps(state)
+            case "POST", ["trust-store"]:
+                self._step(lambda node, at: node.trust_store(at))
+                return 200, "this store is taken for the latest"
+            case "POST", ["forget", name]:
+                return 202, json.dumps({"petition": self._petition(name)})
+            case _, ["members" | "budgets" | "link"] | ["petitions", _]:
+                return 405, "use GET"
+            case _, ["trust-store"] | ["forget", _]:
+                return 405, "use POST"
+        return 404, "no such call"
+
+    def _petition(self, name: str) -> int:
+        numbers: list[int] = []
+
+        def ask(node: FleetNode, now: int) -> Output:
+            number, out = node.petition(now, Forget(name))
+            numbers.append(number)
+            return out
+
+        self._step(ask)
+        return numbers[0]
+
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -158,6 +158,10 @@
         if job.over:
             self.broke()
             return
+        if job.attempt is not None and job.attempt.moot(self._pool.clock.now_us()):
+            self.broke()
+            self._pool.finish(job, Result.MOOT)
+            return
         self.state = "sent"
         connection.release(job, self._held)
         self._held = b""
@@ -651,7 +655,7 @@
         now = self.clock.now_us()
         while brick.waiting:
             job = brick.waiting[0]
-            if job.over or (job.attempt is not None and job.attempt.over):
+            if job.over or (job.attempt is not None and job.attempt.moot(self.clock.now_us())):
                 brick.waiting.popleft()
                 self.finish(job, Result.MOOT)
                 continue
--- a/gaugesail/http/management.py
+++ b/gaugesail/http/management.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any, Protocol
 from urllib.parse import unquote_to_bytes
 
@@ -81,8 +82,8 @@
 
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+    413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
     503: "Service Unavailable",
 }  # fmt: skip
 
@@ -95,6 +96,7 @@
     def __init__(self, head: Operations, clock: Clock, log: Logger) -> None:
         self._head, self.clock, self.log = head, clock, log
         self._open: OrderedDict[CallConnection, None] = OrderedDict()
+        self.fleet: Callable[[str, list[str]], tuple[int, str]] | None = None  # calls under /fleet
 
     def buildProtocol(self, addr: Any) -> CallConnection:
         return CallConnection(self)
@@ -134,4 +136,6 @@
                 if not self._head.maintain(node, word == b"maint"):
                     return 404, "no list has ever named that brick"
                 return 200, "out of use" if word == b"maint" else "in use"
+            case [b"", b"fleet", *rest] if self.fleet is not None:
+                return self.fleet(method, [word.decode(errors="replace") for word in rest])
         return 404, "no such call"
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -6,13 +6,13 @@
 
 from marllift.interface import ListKind, NodeList
 
-from ..app import Service
 from ..core.clock import ReactorClock
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Reactor
 from ..handover import Inheritance
 from ..http.management import MOST_CALLS
 from ..operations import Operations
+from ..service import Service
 from .initiator import NodePool
 from .operator import Operator, OperatorError
 from .target import TargetFront
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -402,7 +402,8 @@
             if not session.room:
                 return
             job = book.waiting.popleft()
-            if job.done or (job.attempt is not None and (job.attempt.done or job.attempt.over)):
+            attempt = job.attempt
+            if job.done or (attempt is not None and (attempt.done or attempt.moot(self.clock.now_us()))):
                 self.finish(job, Result.MOOT)
                 continue
             session.start(job)
--- a/gaugesail/iscsi/operator.py
+++ b/gaugesail/iscsi/operator.py
@@ -133,7 +133,8 @@
                 api.Plan(
                     _table(row, "name", str),
                     *(_table(row, key, float, default) for key, default in (
-                        ("rate", 0.0), ("reserve", 0.0), ("weight", 1.0), ("price", 1.0))),
+                        ("rate", 0.0), ("reserve", 0.0), ("weight", 1.0), ("price", 1.0),
+                        ("limit", 0.0), ("limit_burst", 0.0), ("limit_slack", 0.0))),
                 )
             )  # fmt: skip
         except ValueError as error:
