--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PINNED = $(wildcard requirements*.txt)
 TOOLS = ruff==0.14.6 mypy==1.18.2 pytest==8.4.2 hypothesis==6.148.1
 
-.PHONY: build test lint run clean
+.PHONY: build test lint run trial clean
 
 build: $(VENV)/built
 
@@ -23,5 +23,8 @@
 run: build
 	exec $(PYTHON) -m gaugesail
 
+trial: build
+	$(VENV)/bin/gaugesail trial budgets --heads 3 --seconds 20 --timeline deploy/trials/newcomer.toml
+
 clean:
 	rm -rf .venv .ci/venv .mypy_cache .ruff_cache .pytest_cache
--- a/gaugesail/cli.py
+++ b/gaugesail/cli.py
@@ -27,11 +27,24 @@
         return command
 
 
-@click.group(cls=LazyGroup, lazy={"measure": "gaugesail.cli:measure"})
+@click.group(cls=LazyGroup, lazy={
+    "ctl": "gaugesail.fleet.ctl:command", "measure": "gaugesail.cli:measure", "trial": "gaugesail.cli:trial",
+})  # fmt: skip
 def main() -> None:
     """gaugesail: a storage head, its rehearsal kit and its laboratory."""
 
 
-@click.group(cls=LazyGroup, lazy={"storm": "gaugesail.measure.storm:command"})
+@click.group(cls=LazyGroup, lazy={"budgets": "gaugesail.rehearsal.fleet.command:command"})
+def trial() -> None:
+    """Play what the fleet does with real processes on loopback, and faults between them."""
+
+
+@click.group(cls=LazyGroup, lazy={
+    "budgets": "gaugesail.measure.budgets:command", "storm": "gaugesail.measure.storm:command",
+})  # fmt: skip
 def measure() -> None:
     """Measure what the head does, in virtual time or against a baseline in the same run."""
+
+
+if __name__ == "__main__":
+    main()
--- a/gaugesail/lab/fleet.py
+++ b/gaugesail/lab/fleet.py
@@ -30,6 +30,7 @@
 NODE = b"node-0"
 WANT_US = 100_000
 AUDIT_US = 20_000
+MOST_CALLS = 100_000  # at one moment
 SERVE_US = 1_000
 INBOX = 400  # messages that wait while a head sleeps; the rest is lost
 START_US = 1_700_000_000 * SECOND
@@ -447,8 +448,12 @@
         heapq.heappush(self._heap, (at, self._made, call))
 
     def run(self, until: int) -> None:
+        calls = 0
         while self._heap and self._heap[0][0] <= until:
             at, _, call = heapq.heappop(self._heap)
+            calls = calls + 1 if at <= self.now else 0
+            if calls > MOST_CALLS:
+                raise RuntimeError(f"{MOST_CALLS} calls at one moment: somebody answers itself without end")
             self.now = max(self.now, at)
             call()
         self.now = until
--- /dev/null
+++ b/gaugesail/lab/search.py
@@ -0,0 +1,342 @@
+"""Exhaustive search of a small fleet: each state that a few heads can come to, whatever the network does.
+
+Three heads, each a keeper and a holder, one amount.  What is ever said stays in the air: it may come at any
+time, any number of times, in any order, or never, which covers loss, doubles and delay.  Beside that a
+bounded number of asks, elections, crashes (a head comes back with its store, as another process) and steps of
+half a lease in time.  In every state what all heads may spend by their own books and clocks has to fit the
+whole.
+"""
+
+from __future__ import annotations
+
+import io
+import pickle
+import random
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from marllift import messages as m
+from marllift.charter import Charter
+from marllift.founding import name_of, seat_of
+from marllift.holder import Floor, Holder, _Want
+from marllift.keeper import Keeper
+from marllift.ledger import Pair
+from marllift.raft import Raft, Role, Snapshot
+
+NAMES = ("h0", "h1", "h2")
+AMOUNT = "p/1"
+WHOLE: Pair = (100_000, 60_000)
+QUANTUM = 4_000
+NEVER = 1 << 60
+LEASE_US = 4_000_000
+FLEET = "f"
+
+
+class Still(random.Random):
+    """Draws that are always the same, and take no room in a state."""
+
+    def random(self) -> float:
+        return 0.5
+
+    def __reduce__(self) -> Any:
+        return Still, ()
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """How often each thing may still happen."""
+
+    asks: int = 2  # of all holders together
+    elections: int = 0
+    crashes: int = 0
+    steps: int = 0  # of half a lease
+
+
+@dataclass(slots=True)
+class Cell:
+    """One head: its keeper, its holder, and what its store holds."""
+
+    keeper: Keeper
+    holder: Holder
+    process: int
+    term: int = 0
+    vote: str = ""
+    log: list[m.Entry] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Room:
+    """One state."""
+
+    now: int
+    cells: dict[str, Cell]
+    air: tuple[tuple[str, str, m.Message], ...]  # from, to, what: all that was ever said
+    left: Budget
+
+
+def _ordered(air: set[tuple[str, str, m.Message]]) -> tuple[tuple[str, str, m.Message], ...]:
+    return tuple(sorted(air, key=repr))
+
+
+def _key(room: Room) -> int:
+    """The same for states that are the same, whichever of their parts are one object."""
+    out = io.BytesIO()
+    pickler = pickle.Pickler(out, 5)
+    pickler.fast = True
+    pickler.dump(room)
+    return hash(out.getvalue())
+
+
+SEATS = tuple(seat_of(name, "s") for name in NAMES)
+
+
+def _charter() -> Charter:
+    return Charter(FLEET, NAMES, LEASE_US, drift=0, most_heads=3)
+
+
+def _raft(name: str, now: int, term: int, vote: str, log: list[m.Entry]) -> Raft:
+    raft = Raft(seat_of(name, "s"), Still(), now, term, vote, Snapshot(0, 0, SEATS), list(log))
+    raft.may_vote = True
+    return raft
+
+
+def _cell(name: str, now: int, process: int, term: int = 0, vote: str = "", log: Any = ()) -> Cell:
+    charter = _charter()
+    keeper = Keeper(charter, "d", FLEET, _raft(name, now, term, vote, list(log)), -10 * LEASE_US)
+    holder = Holder(charter, "d", name, process, f"s-{name}", Floor(), now, Still())
+    holder.state({"p": WHOLE}, QUANTUM)
+    return Cell(keeper, holder, process, term, vote, list(log))
+
+
+class Search:
+    """Steps between states."""
+
+    def settle(self, room: Room, name: str) -> list[tuple[str, str, m.Message]]:
+        """The end of a head's step: carry out, keep, say.  Timers are set so that none counts as a state."""
+        cell, now = room.cells[name], room.now
+        keeper, raft = cell.keeper, cell.keeper.raft
+        raft._round_at = now - 1_000_000
+        keeper.work(now)
+        if (save := raft.take_save()) is not None:
+            cell.term, cell.vote = save.term, save.vote
+            if save.first is not None:
+                cell.log[save.first - 1 :] = save.entries
+        said = [(name, to, what) for to, what in keeper.take_out()]
+        said += [(name, to, what) for to, what in cell.holder.take_out()]
+        keeper.notes.clear()
+        cell.holder.notes.clear()
+        cell.holder.spendable()
+        cell.holder.floor_dirty = False
+        self._still(cell, now)
+        return said
+
+    def _still(self, cell: Cell, now: int) -> None:
+        raft, office, holder = cell.keeper.raft, cell.keeper.office, cell.holder
+        raft._round_at, raft._beat_at, raft._election_at = now - 1_000_000, NEVER, NEVER
+        raft._heard_at = now - 10_000_000
+        raft.now = now
+        for other in raft._others.values():
+            other.heard_at = other.sent_at = now
+        if office is not None:
+            office._retell_at = NEVER
+            for tenant in office.tenants.values():
+                tenant.untold = dict.fromkeys(tenant.untold, 0)
+        holder._ask_at, holder._waits, holder._mute, holder._whom = NEVER, None, set(), ""
+        holder._wanted_at = now
+        for want in holder._wants.values():
+            want.at = now
+
+    def act(self, room: Room, name: str) -> Room:
+        """Settle a head and put what it says into the air; what it says to itself it hears at once."""
+        said, air = self.settle(room, name), set(room.air)
+        while said:
+            item = said.pop(0)
+            if item[0] == item[1]:
+                self.hear(room, name, item)
+                said += self.settle(room, name)
+            else:
+                air.add(item)
+        room.air = _ordered(air)
+        return room
+
+    def hear(self, room: Room, name: str, item: tuple[str, str, m.Message]) -> None:
+        cell, (sender, _, what) = room.cells[name], item
+        match what:
+            case m.Answer() | m.Orders():
+                cell.holder.receive(room.now, sender, what)
+            case m.Ask():
+                leader = cell.keeper.raft.leader
+                for to, said in cell.keeper.ask(room.now, sender, what, name_of(leader) if leader else ""):
+                    room.air = _ordered({*room.air, (name, to, said)})
+            case _:
+                cell.keeper.raft.receive(room.now, what)
+
+    # ---- what may happen ----
+
+    def next(self, room: Room, packed: bytes) -> Iterator[tuple[str, Room]]:
+        """All states one step from here."""
+        for item in room.air:
+            fresh = pickle.loads(packed)
+            self.hear(fresh, item[1], item)
+            yield "hear", self.act(fresh, item[1])
+        left = room.left
+        if left.asks:
+            for name in NAMES:
+                for whom in self._leaders(room):
+                    fresh = pickle.loads(packed)
+                    fresh.left = replace(left, asks=left.asks - 1)
+                    yield "ask", self.ask(fresh, name, whom)
+        if left.elections:
+            for name in NAMES:
+                if room.cells[name].keeper.raft.role is not Role.LEADER:
+                    fresh = pickle.loads(packed)
+                    fresh.left = replace(left, elections=left.elections - 1)
+                    yield "stand", self.stand(fresh, name)
+        if left.crashes:
+            for name in NAMES:
+                fresh = pickle.loads(packed)
+                fresh.left = replace(left, crashes=left.crashes - 1)
+                old = fresh.cells[name]
+                fresh.cells[name] = _cell(name, fresh.now, old.process + 10, old.term, old.vote, old.log)
+                self._still(fresh.cells[name], fresh.now)
+                yield "crash", fresh
+        if left.steps:
+            fresh = pickle.loads(packed)
+            fresh.left = replace(left, steps=left.steps - 1)
+            yield "time", self.pass_time(fresh)
+
+    def _leaders(self, room: Room) -> list[str]:
+        """Whom an ask may do anything with: all who believe that they lead."""
+        return [name for name, cell in room.cells.items() if cell.keeper.raft.role is Role.LEADER]
+
+    def ask(self, room: Room, name: str, whom: str) -> Room:
+        holder = room.cells[name].holder
+        holder._ask_at = room.now
+        holder.tick(room.now, [whom])
+        return self.act(room, name)
+
+    def stand(self, room: Room, name: str) -> Room:
+        raft = room.cells[name].keeper.raft
+        raft._stand(room.now, pre=False)  # as if its pre-vote had passed: what follows is more than may be
+        return self.act(room, name)
+
+    def pass_time(self, room: Room) -> Room:
+        room.now += LEASE_US // 2 + 1
+        for name, cell in room.cells.items():
+            raft = cell.keeper.raft
+            for other in raft._others.values():
+                other.heard_at = room.now
+            cell.holder.tick(room.now, [])
+            self.act(room, name)
+        return room
+
+    def quiet(self, room: Room) -> Room:
+        """Deliver all that is in the air, each once, until nothing more is said."""
+        heard: set[tuple[str, str, m.Message]] = set()
+        while waits := [item for item in room.air if item not in heard]:
+            heard.add(waits[0])
+            self.hear(room, waits[0][1], waits[0])
+            self.act(room, waits[0][1])
+        return room
+
+    def first(self, budget: Budget) -> Room:
+        """h0 leads, h1 has all that may be given, and h2 begins to want as much."""
+        cells = {name: _cell(name, 0, n + 1) for n, name in enumerate(NAMES)}
+        room = Room(1_000_000, cells, (), budget)
+        for name in NAMES:
+            self._still(cells[name], room.now)
+        self.quiet(self.stand(room, "h0"))
+        for _ in range(3):
+            for name in NAMES:
+                self.quiet(self.ask(room, name, "h0"))
+        room.now += 2 * LEASE_US  # the larger whole is settled
+        for name in NAMES:
+            self.act(room, name)
+            self.quiet(self.ask(room, name, "h0"))
+        self.want(room, "h1", 200_000)
+        for _ in range(4):
+            for name in NAMES:
+                self.quiet(self.ask(room, name, "h0"))
+        room.air = ()
+        self.want(room, "h2", 200_000)
+        for cell in room.cells.values():
+            cell.holder._sent = {n: at for n, at in cell.holder._sent.items() if n == cell.holder._number}
+        return room
+
+    def want(self, room: Room, name: str, rate: int) -> None:
+        room.cells[name].holder._wants[AMOUNT] = _Want(1000, room.now, float(rate), float(rate))
+
+    # ---- what must hold ----
+
+    def spendable(self, room: Room) -> Pair:
+        """What all heads may spend now: parts whose lease runs by its holder's count, and all floors."""
+        rate = burst = 0
+        for cell in room.cells.values():
+            holder = cell.holder
+            if room.now < holder.until and (held := holder.book.get(AMOUNT)) is not None:
+                rate, burst = rate + held.rate, burst + held.burst
+        floor = _charter().floor(*WHOLE)
+        return rate + 3 * floor[0], burst + 3 * floor[1]
+
+    def good(self, room: Room) -> bool:
+        rate, burst = self.spendable(room)
+        return rate <= WHOLE[0] and burst <= WHOLE[1]
+
+
+@dataclass(slots=True)
+class Found:
+    """What a search came to."""
+
+    states: int
+    steps: Counter[str]
+    whole: bool  # all states were seen
+    broken: list[str]  # the way to a state in which more may be spent than there is
+    both: int = 0  # states in which two believe that they lead
+    moved: int = 0  # states in which h2 has a part
+
+
+def search(budget: Budget, most: int = 1_000_000) -> Found:
+    """Every state, breadth first, until all are seen, one is broken, or there are too many."""
+    way = Search()
+    first = way.first(budget)
+    packed = pickle.dumps(first, 5)
+    seen = {_key(first)}
+    back: dict[int, tuple[int, str]] = {}
+    found = Found(1, Counter(), True, [])
+    layer = [(_key(first), packed)]
+    while layer:
+        following: list[tuple[int, bytes]] = []
+        for mine, packed in layer:
+            room: Room = pickle.loads(packed)
+            for step, fresh in way.next(room, packed):
+                key = _key(fresh)
+                found.steps[step] += 1
+                if key in seen:
+                    continue
+                seen.add(key)
+                back[key] = mine, step
+                found.states += 1
+                found.both += len(way._leaders(fresh)) > 1
+                found.moved += AMOUNT in fresh.cells["h2"].holder.book
+                if not way.good(fresh):
+                    found.whole = False
+                    while key in back:
+                        key, step = back[key]
+                        found.broken.insert(0, step)
+                    return found
+                if found.states >= most:
+                    found.whole = False
+                    return found
+                following.append((key, pickle.dumps(fresh, 5)))
+        layer = following
+    return found
+
+
+INSTANCES = {
+    "move": Budget(asks=3),
+    "two_leaders": Budget(asks=2, elections=1),
+    "crash": Budget(asks=2, crashes=1),
+    "expiry": Budget(asks=2, steps=2),
+}
--- /dev/null
+++ b/gaugesail/measure/planted.py
@@ -0,0 +1,283 @@
+"""Faults planted in the fleet's decisions, one at a time, to see that a schedule or a case finds each.
+
+Each replaces one guard by code without it, for as long as the ``with`` lasts; what it takes away is in its
+name and its sentence.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from typing import Any
+from unittest.mock import patch
+
+from marllift import amounts, fleet, granting, holder, ledger, raft, witness
+from marllift import messages as m
+from marllift.charter import Charter
+
+
+@dataclass(slots=True, frozen=True)
+class Plant:
+    """One fault: what is wrong, and how it is put in."""
+
+    name: str
+    what: str
+    patches: Callable[[], list[Any]]
+
+
+def _method(owner: Any, name: str, make: Callable[[Any], Any]) -> Any:
+    """Replace a method by one made of it."""
+    return patch.object(owner, name, make(getattr(owner, name)))
+
+
+def _receipt(old: Any) -> Any:
+    return lambda self, now, sender, answer, asked, newest: old(self, now, sender, answer, now, newest)
+
+
+def _ordered_twice(self: Any, now: int, message: m.Orders) -> None:
+    """Each order adds what it says to what is there."""
+    for order in message.orders:
+        have = self.book.get(order.amount)
+        self._seen = max(self._seen, order.version)
+        rate, burst = order.rate, order.burst
+        if have is not None and order.version == have.version and not order.lower:
+            rate, burst = have.rate + rate, have.burst + burst
+        self.book[order.amount] = m.Held(order.amount, order.version, rate, burst)
+        self._fresh[order.amount] = None
+        self._changed[order.amount] = 0
+    self._hurry(now)
+
+
+def _ordered_any(old: Any) -> Any:
+    """An older order is taken in as if it were the latest."""
+
+    def ordered(self: Any, now: int, message: m.Orders) -> None:
+        for order in message.orders:
+            have = self.book.get(order.amount)
+            if have is not None and order.version < have.version:
+                self.book[order.amount] = m.Held(order.amount, order.version, 0, 0)
+        old(self, now, message)
+
+    return ordered
+
+
+def _no_wait(old: Any) -> Any:
+    """A new leader counts sessions from the beginning of time."""
+
+    def init(self: Any, *given: Any) -> None:
+        *most, now, _ = given
+        old(self, *most, now, False)
+        for tenant in self.tenants.values():
+            tenant.until = now
+
+    return init
+
+
+def _unasked(self: Any, now: int, number: int, tenant: Any, amounts: Any) -> None:
+    """What a holder is asked to give up is written down at once."""
+    for amount, (rate, burst) in list(tenant.lower.items()):
+        stake = self._ledger.parts.get(amount, {}).get(number)
+        if stake is not None:
+            self._propose(amount, number, min(rate, stake.rate), min(burst, stake.burst), stake.version)
+    _TELL(self, now, number, tenant, amounts)
+
+
+_TELL = granting.Office._tell
+
+
+def _part_anyway(self: Any, index: int, command: m.Part) -> bool:
+    """The sum is not looked at."""
+    if command.session not in self.sessions:
+        return False
+    self.parts.setdefault(command.amount, {})[command.session] = ledger.Stake(
+        command.rate, command.burst, index
+    )
+    self._sums.pop(command.amount, None)
+    return True
+
+
+def _told_early(self: Any, amount: str, session: int, rate: int, burst: int, held: int) -> None:
+    """A grant is told when it is proposed."""
+    pending = self._pending.setdefault(amount, set())
+    if session in pending:
+        return
+    pending.add(session)
+    index = self._raft.propose(m.Part(amount, session, rate, burst, held))
+    found, tenant = self._ledger.sessions.get(session), self.tenants[session]
+    if index is not None and found is not None:
+        order = m.Order(amount, index, rate, burst, False)
+        self._out.append((tenant.head, m.Orders(found.process, session, self._fleet, (order,))))
+
+
+def _keep_book(old: Any) -> Any:
+    """Parts of an earlier session are spent under the next."""
+
+    def drop(self: Any) -> None:
+        book, until = dict(self.book), self.until
+        old(self)
+        self.book, self.until = book, until
+        self._anew = False
+
+    return drop
+
+
+def _forever(old: Any) -> Any:
+    """What the lease gave is spent when it is over."""
+
+    def shares(self: Any, now: int, event: Any) -> None:
+        old(self, now, event)
+        if event.until_us:
+            self._until = 1 << 62
+
+    return shares
+
+
+def _not_kept(old: Any) -> Any:
+    """Entries are acknowledged and not written."""
+
+    def save(self: Any) -> Any:
+        found = old(self)
+        if found is not None:
+            found.first, found.entries = None, ()
+        return found
+
+    return save
+
+
+def _vote_forgotten(old: Any) -> Any:
+    """What is kept says no vote and an older term."""
+
+    def save(self: Any) -> Any:
+        found = old(self)
+        if found is not None:
+            found.kept.vote, found.kept.term = "", max(0, found.kept.term - 1)
+        return found
+
+    return save
+
+
+def _floor_any(self: Any, head: str, store: str) -> int:
+    """Whoever opens a session has the first floor."""
+    if 0 not in self.slots:
+        self.slots[0] = ledger.Slot(head, store, [self.version])
+        self._past[self.version] = self.wholes
+        self._floors.clear()
+    return 0
+
+
+def _raised_at_once(self: Any, index: int, command: m.Wholes) -> bool:
+    """Another whole is in force at once, be it less or more."""
+    wanted = {plan: (rate, burst) for plan, rate, burst in command.wholes}
+    if wanted == self.wanted:
+        return False
+    self.wanted = wanted
+    self._turn(index, {**self.wholes, **wanted})
+    return True
+
+
+def _full(old: Any) -> Any:
+    """A gateway begins with its store full."""
+
+    def limit(self: Any, now: int, plan: Any, volume: int, mounts: float) -> Any:
+        fresh = (plan.name, volume, 0.0) not in self._stores
+        store = old(self, now, plan, volume, mounts)
+        if fresh:
+            store.units = plan.limit_burst
+        return store
+
+    return limit
+
+
+def _moved(old: Any) -> Any:
+    """A part that grows grows full."""
+
+    def shares(self: Any, now: int, event: Any) -> None:
+        before = dict(self._parts)
+        old(self, now, event)
+        for plan, volume, _, burst in event.parts:
+            store = self._stores.get((plan, volume, 0.0))
+            if store is not None:
+                store.units += max(0.0, burst - before.get((plan, volume), (0.0, 0.0))[1])
+
+    return shares
+
+
+def _closing_renewed(self: Any, now: int, number: int, tenant: Any) -> bool:
+    """A session whose end is on its way is renewed."""
+    return True
+
+
+def _closed_early(old: Any) -> Any:
+    """A lease is counted from when it was asked for, and for half as long."""
+
+    def tick(self: Any, now: int) -> None:
+        old(self, now)
+        for tenant in self.tenants.values():
+            tenant.until = min(tenant.until, now + self._charter.count_us // 2)
+
+    return tick
+
+
+def _unconfirmed(self: Any) -> int:
+    """An ask is answered without a round."""
+    return 1 << 60
+
+
+PLANTS = (
+    Plant("lease_from_receipt", "a lease is counted from when its answer came",
+          lambda: [_method(holder.Holder, "_renewed", _receipt)]),
+    Plant("grant_twice", "a grant that comes twice counts twice",
+          lambda: [patch.object(holder.Holder, "_ordered", _ordered_twice)]),
+    Plant("older_grant", "a grant older than what stands is taken in",
+          lambda: [_method(holder.Holder, "_ordered", _ordered_any)]),
+    Plant("no_wait_after_election", "a new leader does not wait for the leases of the one before",
+          lambda: [_method(granting.Office, "__init__", _no_wait)]),
+    Plant("lower_unasked", "a part is taken down before its holder has given it up",
+          lambda: [patch.object(granting.Office, "_tell", _unasked)]),
+    Plant("no_drift", "the drift of clocks is left out",
+          lambda: [patch.object(Charter, "count_us", property(lambda self: self.lease_us))]),
+    Plant("no_sum", "the ledger takes a part without looking at the sum",
+          lambda: [patch.object(ledger.Ledger, "_part", _part_anyway)]),
+    Plant("told_before_committed", "a grant is told before a majority has it",
+          lambda: [patch.object(granting.Office, "_propose", _told_early)]),
+    Plant("book_kept", "the parts of a session that is over are spent on",
+          lambda: [_method(holder.Holder, "_drop", _keep_book)]),
+    Plant("expired_spent", "a part is spent after its lease",
+          lambda: [_method(amounts.Amounts, "shares", _forever)]),
+    Plant("minority", "one keeper alone is a majority",
+          lambda: [patch.object(raft.Raft, "majority", property(lambda self: 1))]),
+    Plant("entries_not_kept", "entries are acknowledged and not written",
+          lambda: [_method(raft.Raft, "take_save", _not_kept)]),
+    Plant("any_log_elected", "who lacks entries is elected",
+          lambda: [patch.object(raft.Raft, "_longer", lambda self, vote: True)]),
+    Plant("floor_twice", "two heads have one floor",
+          lambda: [patch.object(ledger.Ledger, "_slot", _floor_any)]),
+    Plant("old_store_trusted", "an old copy of a store votes",
+          lambda: [patch.object(witness.Witness, "good", lambda self, others: True),
+                   patch.object(witness, "judge", lambda known, mark: True)]),
+    Plant("whole_at_once", "a larger whole is in force while leases of the smaller go on, and the reverse",
+          lambda: [patch.object(ledger.Ledger, "_wholes", _raised_at_once)]),
+    Plant("born_full", "a process begins with a full store",
+          lambda: [_method(amounts.Amounts, "limit", _full)]),
+    Plant("grown_full", "a part that grows grows full",
+          lambda: [_method(amounts.Amounts, "shares", _moved)]),
+    Plant("closed_early", "a lease is given up by its giver before its holder's end",
+          lambda: [_method(granting.Office, "tick", _closed_early)]),
+    Plant("not_confirmed", "an ask is answered without a round of the majority",
+          lambda: [patch.object(raft.Raft, "confirmed", property(_unconfirmed))]),
+    Plant("vote_not_kept", "a vote is given and not written",
+          lambda: [_method(fleet.FleetNode, "_save", _vote_forgotten)]),
+    Plant("closing_renewed", "a session whose end is on its way is renewed",
+          lambda: [patch.object(granting.Office, "_may_renew", _closing_renewed)]),
+)  # fmt: skip
+
+
+@contextmanager
+def planted(name: str) -> Iterator[None]:
+    """With one fault in place."""
+    plant = next(item for item in PLANTS if item.name == name)
+    with ExitStack() as stack:
+        for item in plant.patches():
+            stack.enter_context(item)
+        yield
--- a/marllift/fleet.py
+++ b/marllift/fleet.py
@@ -18,17 +18,15 @@
 
 from . import messages as m
 from .charter import Charter
-from .founding import Founded, Founding, name_of, seat_of, store_of
-from .granting import Office
+from .founding import Founded, Founding, name_of, seat_of
 from .holder import Floor, Holder, Spendable
-from .ledger import Ledger, Pair, plan_of
+from .keeper import Keeper, elsewhere
+from .ledger import Pair
 from .members import Members, State
 from .messages import Entry, Message
-from .raft import KEEP, Broken, Raft, Role, Snapshot
+from .raft import Broken, Raft, Snapshot
 from .witness import Known, Witness
 
-RESEAT_US = 5_000_000  # without a word from a seat whose keeper has come back with another store
-STEPS = 8  # of applying what one step commits
 Notices = tuple[tuple[str, dict[str, Any]], ...]
 
 
@@ -104,9 +102,7 @@
             name, kept.store, charter.keepers, digest, Founded(kept.fleet, kept.seats, kept.bound)
         )
         self.witness = Witness({store: Known(*item) for store, item in kept.known.items()}, now)
-        self.ledger = Ledger(charter)
-        self.raft: Raft | None = None
-        self.office: Office | None = None
+        self.seat: Keeper | None = None
         floor = Floor(kept.slot, kept.version, kept.wholes, kept.of_fleet)
         self.holder = Holder(charter, digest, name, process, kept.store, floor, now, self._rng)
         self._floor_kept = floor
@@ -114,11 +110,9 @@
         self._anew = False
         self._notices: list[tuple[str, dict[str, Any]]] = []
         self._out: list[tuple[str, Message]] = []
-        self._later: dict[int, tuple[str, int]] = {}  # whose petition waits for which entry
         self._answers: dict[int, tuple[bool, str]] = {}  # what became of ours
         self._petitions = 0
         self._said: set[str] = set()  # what is told once
-        self._applicants: dict[str, str] = {}  # keepers with a store that has no seat
         self._broken = False
         if self.keeper:
             assert loaded is not None
@@ -132,8 +126,8 @@
         if founded.fleet and not snapshot.index and seat in founded.seats:
             snapshot = Snapshot(0, 0, founded.seats, b"")
         if founded.fleet:
-            self.raft = Raft(seat, self._rng, now, self.kept.term, self.kept.vote, snapshot, log)
-            self.ledger.load(snapshot.state)
+            raft = Raft(seat, self._rng, now, self.kept.term, self.kept.vote, snapshot, log)
+            self.seat = Keeper(self.charter, self.digest, founded.fleet, raft, self._born)
 
     # ---- what is told from outside ----
 
@@ -145,25 +139,23 @@
             times.append(self.witness.next_at)
             if not self.seated:
                 times.append(self.founding.next_at)
-        if self.raft is not None:
-            times.append(self.raft.next_at)
-        if self.office is not None:
-            times.append(self.office.next_at)
+        if self.seat is not None:
+            times.append(self.seat.next_at)
         return min(times)
 
     @property
     def seated(self) -> bool:
-        return self.raft is not None and self.raft.seat in self.raft.seats
+        return self.seat is not None and self.seat.seated
 
     @property
     def leads(self) -> bool:
-        return self.office is not None
+        return self.seat is not None and self.seat.office is not None
 
     @property
     def leader(self) -> str:
         """The head that leads, as far as known."""
-        if self.raft is not None and self.raft.leader:
-            return name_of(self.raft.leader)
+        if self.seat is not None and self.seat.raft.leader:
+            return name_of(self.seat.raft.leader)
         return self.holder.leader
 
     def state(self, wholes: Mapping[str, Pair], quantum: int) -> None:
@@ -179,19 +171,16 @@
         """This head ends in order: its parts go back, and the others hear of it."""
         self.holder.leave(now)
         self.members.leave(now)
-        raft = self.raft
-        if raft is not None and raft.role is Role.LEADER:
-            others = [seat for seat in raft.seats if seat != raft.seat]
-            if others:
-                raft.hand_on(max(others, key=raft.match))
+        if self.seat is not None:
+            self.seat.hand_on()
         return self.tick(now)
 
     def petition(self, now: int, command: m.Forget) -> tuple[int, Output]:
         """What operators ask for: its number, by which ``answer`` tells what became of it."""
         self._petitions += 1
         number = self._petitions
-        if self.office is not None:
-            self._petitioned(self.name, m.Petition(number, command))
+        if self.seat is not None and self.leads:
+            self.seat.petition(self.name, m.Petition(number, command), self.leader)
             return number, self._finish(now)
         if not self.leader:
             self._answers[number] = False, "no leader is known"
@@ -216,7 +205,7 @@
         self.members.tick(now)
         if self.keeper:
             self._keep(now)
-        if self.raft is not None:
+        if self.seat is not None:
             self._guarded(now, lambda raft: raft.tick(now))
         self.holder.tick(now, self._likely())
         return self._finish(now)
@@ -241,41 +230,32 @@
                     self._say(to, said)
                 self._keep(now)
             case m.Petition():
-                self._petitioned(sender, message)
+                if self.seat is not None:
+                    self.seat.petition(sender, message, self.leader)
+                else:
+                    self._say(sender, m.Heard(message.number, False, "this head is no keeper"))
             case m.Heard():
                 self._answers[message.number] = message.done, message.why
             case (
                 m.Vote() | m.Voted() | m.Append() | m.Appended() | m.Install() | m.Lead()
             ) if name_of(message.seat) == sender:
-                if self.raft is not None:
+                if self.seat is not None:
                     self._guarded(now, lambda raft: raft.receive(now, message))
         return self._finish(now)
 
     def _guarded(self, now: int, step: Any) -> None:
+        assert self.seat is not None
         try:
-            step(self.raft)
+            step(self.seat.raft)
         except Broken as broken:
             self._note("log_broken", why=str(broken))
             self._fall(now)
 
     def _ask(self, now: int, sender: str, ask: m.Ask) -> None:
-        if self.office is not None:
-            self.office.ask(now, sender, ask)
-            return
-        leader = self.leader if self.leader != self.name else ""
-        self._say(sender, m.Answer(ask.process, ask.number, m.Status.ELSEWHERE, 0, 0, leader))
-
-    def _petitioned(self, sender: str, petition: m.Petition) -> None:
-        if self.office is None:
-            self._say(sender, m.Heard(petition.number, False, f"the leader is {self.leader or 'not known'}"))
-            return
-        head = petition.command.head
-        if any(session.head == head for session in self.ledger.sessions.values()):
-            self._say(sender, m.Heard(petition.number, False, f"{head} has a session: it is not gone"))
-        elif not any(slot.head == head for slot in self.ledger.slots.values()):
-            self._say(sender, m.Heard(petition.number, True, f"{head} has no floor"))
-        elif self.raft is not None and (index := self.raft.propose(petition.command)) is not None:
-            self._later[index] = sender, petition.number
+        if self.seat is not None:
+            self._out += self.seat.ask(now, sender, ask, self.leader)
+        else:
+            self._say(sender, elsewhere(ask, self.leader if self.leader != self.name else ""))
 
     # ---- a keeper's duties ----
 
@@ -284,15 +264,16 @@
         founded, kept = self.founding.kept, self.kept
         if self.witness.stale:
             self._renew(now)
-        if founded.fleet and self.raft is None and not self._broken:
+        if founded.fleet and self.seat is None and not self._broken:
             self._sit(now, Snapshot(), [])
             self._note("founded", fleet=founded.fleet, seats=",".join(map(name_of, founded.seats)))
         others = [name_of(seat) for seat in self._seats() if name_of(seat) != self.name]
         good = self.witness.good(len(others))
-        if self.raft is not None:
-            if good and not self.raft.may_vote:
-                self._note("keeper", seat=self.raft.seat)
-            self.raft.may_vote = good
+        if self.seat is not None:
+            if good and not self.seat.raft.may_vote:
+                self._note("keeper", seat=self.seat.raft.seat)
+            self.seat.raft.may_vote = good
+            self.seat.apply_for(self.founding.applicants())
         if self.witness.due(now, good):
             mark = m.Mark(kept.store, kept.life, kept.saves, self._loaded_saves, self.process)
             for name in others:
@@ -305,7 +286,8 @@
                 self._note("strange_keeper", head=who, why=why)
 
     def _seats(self) -> tuple[str, ...]:
-        return self.raft.seats if self.raft is not None and self.raft.seats else self.founding.kept.seats
+        seat = self.seat
+        return seat.raft.seats if seat is not None and seat.raft.seats else self.founding.kept.seats
 
     def _renew(self, now: int) -> None:
         """This store is an old copy: it is put aside, and a fresh one asks for a seat."""
@@ -318,16 +300,14 @@
         )  # fmt: skip
         self.founding.renew(fresh)
         self.witness.restart(now)
-        self.raft, self.office, self.ledger = None, None, Ledger(self.charter)
+        self.seat = None
         self.holder.renew(now, fresh)
         self._floor_kept = self.holder.floor
         self._changed = self._anew = True
 
     def _fall(self, now: int) -> None:
         """A keeper no longer: its store takes no more, or its log is broken."""
-        if self.raft is not None:
-            self.raft.stop(now)
-        self.raft, self.office, self.keeper = None, None, False
+        self.seat, self.keeper = None, False
         self._broken = True
 
     def store_failed(self, now: int, why: str) -> None:
@@ -341,9 +321,9 @@
 
     def _finish(self, now: int) -> Output:
         out = Output()
-        raft = self.raft
-        if raft is not None:
-            self._work(now, raft)
+        seat = self.seat
+        if seat is not None:
+            seat.work(now)
         for change in self.members.changes():
             self._note(f"member_{change.how}", head=change.name, address=change.address)
         if self.members.usurped and "usurped" not in self._said:
@@ -351,12 +331,15 @@
             self._note("name_taken", head=self.name)
         out.save = self._save()
         out.shares = self.holder.spendable()
-        if raft is not None and self.raft is raft:
-            out.sends += [(name_of(seat), said) for seat, said in raft.take_out()]
-        if self.office is not None:
-            out.sends += self.office.take_out()
-            for note in self.office.take_notes():
-                self._note(note.event, **dict(note.fields))
+        if seat is not None:
+            for to, said in seat.take_out():
+                if isinstance(said, m.Heard) and to == self.name:
+                    self._answers[said.number] = said.done, said.why
+                else:
+                    out.sends.append((to, said))
+            for event, fields in seat.notes:
+                self._note(event, **fields)
+            seat.notes.clear()
         out.sends += self.holder.take_out() + self.members.out() + self._out
         self._out = []
         for event, fields in self.holder.notes:
@@ -365,66 +348,11 @@
         out.notices, self._notices = self._notices, []
         return out
 
-    def _work(self, now: int, raft: Raft) -> None:
-        """Carry out what is committed, let the office work on it, and pass on what it proposes."""
-        for _ in range(STEPS):
-            before = raft.commit, raft.last
-            if raft.installed:
-                raft.installed = False
-                self.ledger.load(raft.snapshot.state)
-            for index, command in raft.committed():
-                done = self.ledger.apply(index, command)
-                if self.office is not None:
-                    self.office.applied(now, index, command, done)
-                self._heard(index, done)
-            if not raft.serving:
-                if self.office is not None:
-                    self._note("leads_no_more", term=self.office.term)
-                self.office = None
-            elif self.office is None or self.office.term != raft.term:
-                fleet = self.founding.kept.fleet
-                fresh = now - self._born < self.charter.count_us or len(raft.seats) == 1
-                self.office = Office(self.charter, self.digest, fleet, self.ledger, raft, now, fresh)
-                self._note("leads", term=raft.term)
-            if self.office is not None:
-                self.office.tick(now)
-                self._reseat(now, raft)
-            raft.flush(now)
-            if (raft.commit, raft.last) == before and raft.applied == raft.commit:
-                break
-        if raft.applied - raft.snapshot.index > KEEP:
-            raft.shorten(self.ledger.dump())
-
-    def _heard(self, index: int, done: bool) -> None:
-        if (asked := self._later.pop(index, None)) is not None:
-            why = "" if done else "it changed nothing"
-            if asked[0] == self.name:
-                self._answers[asked[1]] = done, why
-            else:
-                self._say(asked[0], m.Heard(asked[1], done, why))
-
-    def _reseat(self, now: int, raft: Raft) -> None:
-        """A keeper that has come back with another store gets a seat for that, once the old one is away."""
-        self._applicants.update(self.founding.applicants())
-        for name, store in list(self._applicants.items()):
-            fresh = seat_of(name, store)
-            olds = [seat for seat in raft.seats if name_of(seat) == name]
-            if fresh in raft.seats:
-                del self._applicants[name]
-            elif not olds:
-                raft.reseat(now, {*raft.seats, fresh})
-            elif (
-                (heard := raft.heard_of(olds[0])) is not None
-                and now - heard > RESEAT_US
-                and raft.reseat(now, set(raft.seats) - {olds[0]}) is not None
-            ):
-                self._note("seat_taken_away", head=name, store=store_of(olds[0]))
-
     def _save(self) -> Save | None:
         """All that is to be kept before anything of this step is done."""
         if not self.holds_store:
             return None
-        kept, raft = self.kept, self.raft
+        kept, raft = self.kept, self.seat.raft if self.seat is not None else None
         log = raft.take_save() if raft is not None else None
         changed = self._changed or self.witness.dirty or self.founding.dirty or self.holder.floor_dirty
         if log is None and not changed:
@@ -482,9 +410,9 @@
         A keeper tells the whole ledger, the leader also until when each lease is counted and what is used;
         any other tells its own part.
         """
-        ledger, holder = self.ledger, self.holder
+        holder = self.holder
         told: dict[str, Any] = {
-            "head": self.name, "leader": self.leader, "leads": self.leads, "keeper": self.raft is not None,
+            "head": self.name, "leader": self.leader, "leads": self.leads, "keeper": self.seat is not None,
             "own": {
                 "session": holder.session, "lease_s": round(max(0, holder.until - now) / 1e6, 2),
                 "slot": holder.floor.slot, "refused": holder.refused,
@@ -494,31 +422,4 @@
                           for held in holder.book.values()},
             },
         }  # fmt: skip
-        if self.raft is None:
-            return told
-        told["settled"], told["version"] = ledger.settled, ledger.version
-        told["wholes"] = {
-            plan: {"rate": rate / 1000, "burst": burst / 1000, "floors": ledger.floors(plan)[0] / 1000}
-            for plan, (rate, burst) in sorted(ledger.wholes.items())
-        }
-        told["slots"] = {n: {"head": slot.head, "store": slot.store} for n, slot in ledger.slots.items()}
-        office = self.office
-        told["sessions"] = [
-            {"session": n, "head": session.head, "slot": session.slot}
-            | (office.lease(now, n) if office is not None else {})
-            for n, session in sorted(ledger.sessions.items())
-        ]
-        told["amounts"] = {
-            amount: {
-                "free": round(ledger.room(amount)[0] / 1000, 3),
-                "whole": ledger.wholes[plan_of(amount)][0] / 1000,
-                "parts": [
-                    {"head": ledger.sessions[n].head, "session": n, "rate": stake.rate / 1000,
-                     "burst": stake.burst / 1000}
-                    | (office.wish(now, amount, n) if office is not None else {})
-                    for n, stake in sorted(stakes.items())
-                ],
-            }
-            for amount, stakes in sorted(ledger.parts.items())
-        }  # fmt: skip
-        return told
+        return told | (self.seat.view(now) if self.seat is not None else {})
--- /dev/null
+++ b/marllift/keeper.py
@@ -0,0 +1,177 @@
+"""A seat among the keepers: its replica of the log, the ledger that it makes, the office while it leads.
+
+Made when a keeper has a fleet, and gone when its store is put aside or fails.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .charter import Charter
+from .founding import name_of, seat_of, store_of
+from .granting import Office
+from .ledger import Ledger, plan_of
+from .messages import Answer, Ask, Heard, Message, Petition, Status
+from .raft import KEEP, Raft, Role
+
+RESEAT_US = 5_000_000  # without a word from a seat whose keeper has come back with another store
+STEPS = 8  # of applying what one step commits
+
+
+class Keeper:
+    """The part of a head that only a keeper has."""
+
+    def __init__(self, charter: Charter, digest: str, fleet: str, raft: Raft, born: int) -> None:
+        self._charter, self._digest, self._fleet, self._born = charter, digest, fleet, born
+        self.raft = raft
+        self.name = name_of(raft.seat)
+        self.ledger = Ledger(charter)
+        self.ledger.load(raft.snapshot.state)
+        self.office: Office | None = None
+        self._later: dict[int, tuple[str, int]] = {}  # whose petition waits for which entry
+        self._applicants: dict[str, str] = {}  # keepers with a store that has no seat
+        self.heard: list[tuple[str, Heard]] = []  # what became of petitions, and for whom
+        self.notes: list[tuple[str, dict[str, Any]]] = []
+
+    @property
+    def seated(self) -> bool:
+        return self.raft.seat in self.raft.seats
+
+    @property
+    def next_at(self) -> int:
+        return self.raft.next_at if self.office is None else min(self.raft.next_at, self.office.next_at)
+
+    # ---- what others ask ----
+
+    def ask(self, now: int, sender: str, ask: Ask, leader: str) -> list[tuple[str, Message]]:
+        """A holder's ask: answered by the office later, or at once with who leads."""
+        if self.office is not None:
+            self.office.ask(now, sender, ask)
+            return []
+        return [(sender, elsewhere(ask, leader if leader != self.name else ""))]
+
+    def petition(self, sender: str, petition: Petition, leader: str) -> None:
+        """What operators ask of the fleet; what becomes of it is in ``heard``."""
+        head, number = petition.command.head, petition.number
+        if self.office is None:
+            self._hear(sender, number, False, f"the leader is {leader or 'not known'}")
+        elif any(session.head == head for session in self.ledger.sessions.values()):
+            self._hear(sender, number, False, f"{head} has a session: it is not gone")
+        elif not any(slot.head == head for slot in self.ledger.slots.values()):
+            self._hear(sender, number, True, f"{head} has no floor")
+        elif (index := self.raft.propose(petition.command)) is not None:
+            self._later[index] = sender, number
+
+    def _hear(self, to: str, number: int, done: bool, why: str) -> None:
+        self.heard.append((to, Heard(number, done, why)))
+
+    def apply_for(self, applicants: dict[str, str]) -> None:
+        """Keepers by name that have come back with a store that has no seat."""
+        self._applicants.update(applicants)
+
+    def hand_on(self) -> None:
+        """It ends in order: who has most of the log may lead at once."""
+        others = [seat for seat in self.raft.seats if seat != self.raft.seat]
+        if self.raft.role is Role.LEADER and others:
+            self.raft.hand_on(max(others, key=self.raft.match))
+
+    # ---- the end of a step ----
+
+    def work(self, now: int) -> None:
+        """Carry out what is committed, let the office work on it, and pass on what it proposes."""
+        raft = self.raft
+        for _ in range(STEPS):
+            before = raft.commit, raft.last
+            if raft.installed:
+                raft.installed = False
+                self.ledger.load(raft.snapshot.state)
+            for index, command in raft.committed():
+                done = self.ledger.apply(index, command)
+                if self.office is not None:
+                    self.office.applied(now, index, command, done)
+                if (asked := self._later.pop(index, None)) is not None:
+                    self._hear(*asked, done, "" if done else "it changed nothing")
+            self._seat_office(now)
+            if self.office is not None:
+                self.office.tick(now)
+                self._reseat(now)
+            raft.flush(now)
+            if (raft.commit, raft.last) == before and raft.applied == raft.commit:
+                break
+        if raft.applied - raft.snapshot.index > KEEP:
+            raft.shorten(self.ledger.dump())
+
+    def _seat_office(self, now: int) -> None:
+        """An office for each term that it leads, from when an entry of that term is committed."""
+        raft = self.raft
+        if not raft.serving:
+            if self.office is not None:
+                self.notes.append(("leads_no_more", {"term": self.office.term}))
+            self.office = None
+        elif self.office is None or self.office.term != raft.term:
+            fresh = now - self._born < self._charter.count_us or len(raft.seats) == 1
+            self.office = Office(self._charter, self._digest, self._fleet, self.ledger, raft, now, fresh)
+            self.notes.append(("leads", {"term": raft.term}))
+
+    def _reseat(self, now: int) -> None:
+        """A keeper that has come back with another store gets a seat for that, once the old one is away."""
+        raft = self.raft
+        for name, store in list(self._applicants.items()):
+            fresh = seat_of(name, store)
+            olds = [seat for seat in raft.seats if name_of(seat) == name]
+            if fresh in raft.seats:
+                del self._applicants[name]
+            elif not olds:
+                raft.reseat(now, {*raft.seats, fresh})
+            elif (
+                (heard := raft.heard_of(olds[0])) is not None
+                and now - heard > RESEAT_US
+                and raft.reseat(now, set(raft.seats) - {olds[0]}) is not None
+            ):
+                self.notes.append(("seat_taken_away", {"head": name, "store": store_of(olds[0])}))
+
+    def take_out(self) -> list[tuple[str, Message]]:
+        """What is to be said, once what is to be kept is written."""
+        out: list[tuple[str, Message]] = [(name_of(seat), said) for seat, said in self.raft.take_out()]
+        if self.office is not None:
+            out += self.office.take_out()
+            self.notes += [(note.event, dict(note.fields)) for note in self.office.take_notes()]
+        heard, self.heard = self.heard, []
+        return out + list[tuple[str, Message]](heard)
+
+    # ---- what staff see ----
+
+    def view(self, now: int) -> dict[str, Any]:
+        """The whole ledger; the leader also tells until when each lease is counted and what is used."""
+        ledger, office = self.ledger, self.office
+        return {
+            "settled": ledger.settled, "version": ledger.version,
+            "wholes": {
+                plan: {"rate": rate / 1000, "burst": burst / 1000, "floors": ledger.floors(plan)[0] / 1000}
+                for plan, (rate, burst) in sorted(ledger.wholes.items())
+            },
+            "slots": {n: {"head": slot.head, "store": slot.store} for n, slot in ledger.slots.items()},
+            "sessions": [
+                {"session": n, "head": session.head, "slot": session.slot}
+                | (office.lease(now, n) if office is not None else {})
+                for n, session in sorted(ledger.sessions.items())
+            ],
+            "amounts": {
+                amount: {
+                    "free": round(ledger.room(amount)[0] / 1000, 3),
+                    "whole": ledger.wholes[plan_of(amount)][0] / 1000,
+                    "parts": [
+                        {"head": ledger.sessions[n].head, "session": n, "rate": stake.rate / 1000,
+                         "burst": stake.burst / 1000}
+                        | (office.wish(now, amount, n) if office is not None else {})
+                        for n, stake in sorted(stakes.items())
+                    ],
+                }
+                for amount, stakes in sorted(ledger.parts.items())
+            },
+        }  # fmt: skip
+
+
+def elsewhere(ask: Ask, leader: str) -> Answer:
+    """Not here: perhaps at whom this one thinks leads."""
+    return Answer(ask.process, ask.number, Status.ELSEWHERE, 0, 0, leader)
--- a/marllift/raft.py
+++ b/marllift/raft.py
@@ -241,7 +241,9 @@
         if vote.pre:
             led = self.role is Role.LEADER or now - self._heard_at < ELECTION_US
             granted = vote.term > self.term and not led and self._longer(vote)
-            self._out.append((vote.seat, Voted(self.seat, vote.term, True, granted)))
+            # Refused, it hears our term: who has the longer log and an older term could be elected by nobody.
+            term = vote.term if granted else self.term
+            self._out.append((vote.seat, Voted(self.seat, term, True, granted)))
             return
         if vote.term > self.term:
             self._follow(now, vote.term, "")
@@ -252,12 +254,12 @@
         self._out.append((vote.seat, Voted(self.seat, self.term, False, granted)))
 
     def _answered(self, now: int, voted: Voted) -> None:
-        if voted.pre:
+        if voted.pre and voted.granted:
             counts = self.role is Role.STANDS and voted.term == self.term + 1
         else:
             if voted.term > self.term:
                 self._follow(now, voted.term, "")
-            counts = self.role is Role.CANDIDATE and voted.term == self.term
+            counts = not voted.pre and self.role is Role.CANDIDATE and voted.term == self.term
         if counts and voted.granted:
             self._votes.add(voted.seat)
             self._elected(now)
@@ -511,14 +513,6 @@
         self._seats = [(index, seats), *(item for item in self._seats if item[0] > index)]
         self._shorter = True
 
-    def stop(self, now: int) -> None:
-        """The store takes no more writes: no promise is made, and none that was not kept is told."""
-        self._follow(now, self.term, "")
-        self.may_vote = False
-        self._out.clear()
-        self._hard = self._shorter = False
-        self._first = None
-
 
 def entry_bytes(entry: Entry) -> int:
     """About the bytes that an entry takes on the wire."""
--- /dev/null
+++ b/tests/test_fleet_raft.py
@@ -0,0 +1,219 @@
+"""The log's rules by example: votes, terms, entries, seats, snapshots, confirmed rounds."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from marllift import messages as m
+from marllift.charter import Charter
+from marllift.keeper import Keeper
+from marllift.raft import ELECTION_US, Broken, Raft, Role, Snapshot
+
+SEATS = ("a#1", "b#1", "c#1")
+SECOND = 1_000_000
+
+
+class Three:
+    """Three keepers and what they say to each other, delivered when the test says so."""
+
+    def __init__(self, seats: tuple[str, ...] = SEATS) -> None:
+        self.now = 10 * SECOND
+        self.all = {seat: self.make(seat, Snapshot(0, 0, seats)) for seat in seats}
+        self.deaf: set[str] = set()
+
+    def make(self, seat: str, snapshot: Snapshot, term: int = 0, vote: str = "") -> Raft:
+        made = Raft(seat, random.Random(seat), self.now, term, vote, snapshot)
+        made.may_vote = True
+        return made
+
+    def talk(self, rounds: int = 16) -> None:
+        for _ in range(rounds):
+            self.now += 25_000
+            for seat, one in self.all.items():
+                if one.role is Role.LEADER:
+                    one.tick(self.now)
+                one.flush(self.now)
+                one.take_save()
+                for to, said in one.take_out():
+                    if to in self.all and not {seat, to} & self.deaf:
+                        self.all[to].receive(self.now, said)
+
+    def lead(self, seat: str = "a#1") -> Raft:
+        """Let one be elected."""
+        self.now += 3 * ELECTION_US
+        self.all[seat].tick(self.now)
+        self.talk()
+        assert self.all[seat].serving
+        return self.all[seat]
+
+
+def test_one_is_elected_and_what_it_puts_is_committed_everywhere() -> None:
+    three = Three()
+    a = three.lead()
+    index = a.propose(m.Close(7))
+    three.talk()
+    assert all(one.commit >= index for one in three.all.values() if index)
+    assert {one.leader for one in three.all.values()} == {"a#1"}
+    assert [command for _, command in three.all["c#1"].committed()][-1] == m.Close(7)
+
+
+def test_a_keeper_votes_once_a_term_and_for_nobody_who_lacks_entries() -> None:
+    three = Three()
+    three.lead().propose(m.Close(1))
+    three.talk()
+    b = three.all["b#1"]
+    b.receive(three.now, m.Vote("c#1", 9, False, 0, 0))
+    (_, short), *_ = [item for item in b.take_out() if isinstance(item[1], m.Voted)]
+    assert isinstance(short, m.Voted) and not short.granted, "its log is shorter"
+    b.receive(three.now, m.Vote("c#1", 9, False, b.last, 9))
+    b.receive(three.now, m.Vote("a#1", 9, False, b.last, 9))
+    granted = [said.granted for _, said in b.take_out() if isinstance(said, m.Voted)]
+    assert granted == [True, False] and b.vote == "c#1"
+    save = b.take_save()
+    assert save is not None and (save.term, save.vote) == (9, "c#1"), "kept before it is said"
+
+
+def test_who_may_not_vote_stands_for_nothing() -> None:
+    three = Three()
+    a = three.all["a#1"]
+    a.may_vote = False
+    a.tick(three.now + 5 * ELECTION_US)
+    assert a.role is Role.FOLLOWER and not a.take_out()
+
+
+def test_a_leader_that_hears_of_no_majority_steps_down() -> None:
+    three = Three()
+    a = three.lead()
+    three.deaf = {"a#1"}
+    for _ in range(40):
+        three.now += 100_000
+        a.tick(three.now)
+        three.talk(1)
+    assert a.role is not Role.LEADER and not a.serving
+
+
+def test_a_round_is_confirmed_by_a_majority_that_heard_it_after_it_began() -> None:
+    three = Three()
+    a = three.lead()
+    three.deaf = {"a#1"}
+    number = a.confirm()
+    three.talk()
+    assert a.confirmed < number
+    three.deaf = {"c#1"}
+    a.confirm()
+    three.talk()
+    assert a.confirmed >= number
+
+
+def test_entries_of_a_leader_that_was_cut_off_give_way() -> None:
+    three = Three()
+    a = three.lead()
+    three.deaf = {"a#1"}
+    a.propose(m.Close(1))
+    a.flush(three.now)
+    three.now += 3 * ELECTION_US
+    three.all["b#1"].tick(three.now)
+    three.talk()
+    b = three.all["b#1"]
+    assert b.serving and b.term > a.term
+    b.propose(m.Close(2))
+    three.deaf = set()
+    three.talk(30)
+    assert a.role is Role.FOLLOWER
+    told = [command for _, command in a.committed()]
+    assert m.Close(2) in told and m.Close(1) not in told
+
+
+def test_a_committed_entry_that_differs_ends_the_keeper() -> None:
+    three = Three()
+    three.lead().propose(m.Close(1))
+    three.talk()
+    b = three.all["b#1"]
+    with pytest.raises(Broken):
+        b.receive(three.now, m.Append("c#1", b.term + 1, 0, 0, (m.Entry(b.term + 1, m.Close(9)),), 0, 1))
+
+
+def test_an_older_leader_is_told_the_term_and_changes_nothing() -> None:
+    three = Three()
+    three.lead()
+    b = three.all["b#1"]
+    b.receive(three.now, m.Vote("c#1", 9, False, 99, 9))
+    b.take_out()
+    before = b.last, b.commit
+    b.receive(three.now, m.Append("a#1", 1, b.last, 1, (m.Entry(1, m.Close(1)),), b.last + 1, 1))
+    (_, said), *_ = b.take_out()
+    assert isinstance(said, m.Appended) and not said.ok and said.term == 9
+    assert (b.last, b.commit) == before
+
+
+def test_one_with_a_longer_log_and_an_older_term_learns_the_term_and_is_elected() -> None:
+    three = Three()
+    a = three.lead()
+    three.deaf = {"b#1", "c#1"}
+    for seat in ("b#1", "c#1"):
+        three.all[seat]._enter(a.term + 5)
+    three.deaf = set()
+    a._follow(three.now, a.term, "")
+    a._put(m.Close(1))
+    for _ in range(6):
+        three.now += 2 * ELECTION_US
+        a.tick(three.now)
+        three.talk()
+    assert a.serving
+
+
+def test_seats_change_one_at_a_time_and_not_before_the_last_change_is_committed() -> None:
+    three = Three()
+    a = three.lead()
+    assert a.reseat(three.now, {"a#1", "b#1", "c#2"}) is None, "that is two changes"
+    assert a.reseat(three.now, {"a#1", "b#1"}) is not None
+    assert a.reseat(three.now, {"a#1", "b#1", "c#2"}) is None, "the first is not committed"
+    three.talk()
+    assert a.reseat(three.now, {"a#1", "b#1", "c#2"}) is not None
+    three.all["c#2"] = three.make("c#2", Snapshot())
+    three.talk(30)
+    assert three.all["c#2"].commit == a.commit and a.seats == ("a#1", "b#1", "c#2")
+
+
+def test_a_log_is_made_short_and_who_is_behind_gets_the_whole() -> None:
+    three = Three()
+    a = three.lead()
+    three.deaf = {"c#1"}
+    for n in range(20):
+        a.propose(m.Close(n))
+        three.talk(2)
+    assert list(a.committed())
+    a.shorten(b"the ledger")
+    assert not a.log and a.snapshot.state == b"the ledger"
+    three.deaf = set()
+    for _ in range(30):
+        three.now += 200_000
+        a.tick(three.now)
+        three.talk(2)
+    c = three.all["c#1"]
+    assert c.installed and c.snapshot.state == b"the ledger" and c.commit == a.commit
+
+
+def test_a_keeper_alone_leads_and_answers_petitions() -> None:
+    three = Three(("a#1",))
+    raft = three.all["a#1"]
+    seat = Keeper(Charter("f", ("a",)), "d", "f", raft, 0)
+    seat.petition("x", m.Petition(1, m.Forget("h")), "")
+    assert seat.take_out()[-1] == ("x", m.Heard(1, False, "the leader is not known"))
+    three.now += 3 * ELECTION_US
+    raft.tick(three.now)
+    seat.work(three.now)
+    assert seat.office is not None and ("leads", {"term": 1}) in seat.notes
+    raft.propose(m.Open("h", 5, "store"))
+    seat.work(three.now)
+    seat.petition("x", m.Petition(2, m.Forget("h")), "a")
+    seat.petition("x", m.Petition(3, m.Forget("g")), "a")
+    raft.propose(m.Close(next(iter(seat.ledger.sessions))))
+    seat.work(three.now)
+    seat.petition("x", m.Petition(4, m.Forget("h")), "a")
+    seat.work(three.now)
+    heard = {said.number: said.done for _, said in seat.take_out() if isinstance(said, m.Heard)}
+    assert heard == {2: False, 3: True, 4: True} and not seat.ledger.slots
+    assert set(seat.view(three.now)) == {"settled", "version", "wholes", "slots", "sessions", "amounts"}
--- /dev/null
+++ b/tests/test_fleet_store.py
@@ -0,0 +1,132 @@
+"""A head's store: kept before anything rests on it, one process's at a time, and never a copy's."""
+
+from __future__ import annotations
+
+import shutil
+import sqlite3
+from pathlib import Path
+
+import pytest
+
+from gaugesail.fleet.store import FleetStore, StoreBusy, StoreFailed, accept
+from marllift import messages as m
+from marllift.fleet import Kept, Loaded, Save
+from marllift.raft import Snapshot
+
+
+def opened(folder: Path) -> tuple[FleetStore, Loaded]:
+    store = FleetStore(str(folder), "h1")
+    return store, store.open()
+
+
+def entries(*terms: int) -> tuple[m.Entry, ...]:
+    return tuple(m.Entry(term, m.Open("h", term, "")) for term in terms)
+
+
+def test_what_is_written_is_there_for_the_next_process(tmp_path: Path) -> None:
+    store, found = opened(tmp_path)
+    assert found.log == [] and found.kept.store
+    kept = Kept(found.kept.store, 3, 9, vote="h2#s", term=7, slot=2, version=4, wholes={"p": (1, 2)})
+    store.write(Save(kept, 1, entries(1, 1, 2)))
+    store.write(Save(kept, 3, entries(3)))
+    store.close()
+    again = opened(tmp_path)[1]
+    assert again.kept == kept and [entry.term for entry in again.log] == [1, 1, 3]
+
+
+def test_a_snapshot_takes_the_place_of_the_entries_before_it(tmp_path: Path) -> None:
+    store, found = opened(tmp_path)
+    store.write(Save(found.kept, 1, entries(1, 1, 2)))
+    store.write(Save(found.kept, snapshot=Snapshot(2, 1, ("a#b",), b"ledger")))
+    store.close()
+    again = opened(tmp_path)[1]
+    assert again.snapshot == Snapshot(2, 1, ("a#b",), b"ledger") and [e.term for e in again.log] == [2]
+
+
+def test_another_store_begins_with_no_log(tmp_path: Path) -> None:
+    store, found = opened(tmp_path)
+    store.write(Save(found.kept, 1, entries(1, 1)))
+    store.write(Save(Kept("other"), anew=True))
+    store.close()
+    again = opened(tmp_path)[1]
+    assert again.kept.store == "other" and not again.log and not again.snapshot.index
+
+
+def test_one_process_has_it_at_a_time(tmp_path: Path) -> None:
+    store, _ = opened(tmp_path)
+    with pytest.raises(StoreBusy):
+        opened(tmp_path)
+    store.close()
+    opened(tmp_path)[0].close()
+
+
+def test_a_copy_beside_its_original_is_put_aside(tmp_path: Path) -> None:
+    store, found = opened(tmp_path)
+    store.close()
+    (tmp_path / "b").mkdir()
+    copy = tmp_path / "b" / "fleet-h1.sqlite"
+    shutil.copy(store.path, copy)
+    other, fresh = opened(tmp_path / "b")
+    assert fresh.kept.store != found.kept.store and "copy" in other.notes[0]["why"]
+    assert Path(other.notes[0]["path"]).exists(), "nothing is lost"
+    other.close()
+
+
+def test_a_store_that_was_moved_is_at_home_once_operators_say_so(tmp_path: Path) -> None:
+    store, found = opened(tmp_path)
+    with pytest.raises(StoreBusy):
+        accept(str(tmp_path), "h1")
+    store.close()
+    (tmp_path / "b").mkdir()
+    shutil.copy(store.path, tmp_path / "b" / "fleet-h1.sqlite")
+    accept(str(tmp_path / "b"), "h1")
+    again, loaded = opened(tmp_path / "b")
+    assert loaded.kept.store == found.kept.store
+    again.close()
+    with pytest.raises(StoreFailed):
+        accept(str(tmp_path), "h2")
+
+
+@pytest.mark.parametrize("damage", ["truncated", "noise", "changed", "gap"])
+def test_a_torn_store_is_put_aside_and_a_fresh_one_made(tmp_path: Path, damage: str) -> None:
+    store, found = opened(tmp_path)
+    store.write(Save(found.kept, 1, entries(1, 1, 2)))
+    store.close()
+    data = store.path.read_bytes()
+    if damage == "truncated":
+        with store.path.open("r+b") as file:
+            file.truncate(len(data) // 2 + 100)
+    elif damage == "noise":
+        with store.path.open("r+b") as file:
+            file.write(b"\x00noise" * 20)
+    else:
+        db = sqlite3.connect(store.path)
+        db.execute("update log set sum = 'x' where at = 2" if damage == "changed" else
+                   "delete from log where at = 2")  # fmt: skip
+        db.commit()
+        db.close()
+    again, loaded = opened(tmp_path)
+    assert loaded.kept.store != found.kept.store and not loaded.log
+    assert len(again.notes) == 1 and Path(again.notes[0]["path"]).stat().st_size
+    again.close()
+
+
+def test_a_store_that_takes_no_more_says_so_and_keeps_what_it_had(tmp_path: Path) -> None:
+    store, found = opened(tmp_path)
+    store.write(Save(found.kept, 1, entries(1)))
+    assert store._db is not None
+    pages = store._db.execute("pragma page_count").fetchone()[0]
+    store._db.execute(f"pragma max_page_count = {pages}")  # as a full disk would
+    big = tuple(m.Entry(2, m.Open("h" * 5000, n, "")) for n in range(20))
+    with pytest.raises(StoreFailed):
+        store.write(Save(Kept(found.kept.store, 9), 2, big))
+    with pytest.raises(StoreFailed):
+        store.write(Save(found.kept))  # nothing more is said to be kept by this process
+    again, loaded = opened(tmp_path)
+    assert loaded.kept.life == found.kept.life and len(loaded.log) == 1
+    again.close()
+
+
+def test_a_folder_that_is_not_there_is_told(tmp_path: Path) -> None:
+    with pytest.raises(StoreFailed, match="none"):
+        FleetStore(str(tmp_path / "none"), "h1").open()
--- /dev/null
+++ b/tests/test_fleet_wire.py
@@ -0,0 +1,109 @@
+"""What comes on the wire: only what a head of this fleet said to this one, once, changes anything."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaugesail.fleet.wire import TAG_BYTES, VERSION, WINDOW, Envelope, Window, Wire
+from gaugesail.lab.fleet import FleetWorld, Limit
+from marllift import messages as m
+
+KEY = b"sixteen bytes and more"
+
+
+def pair() -> tuple[Wire, Wire]:
+    return Wire("f", "a", 1, KEY), Wire("f", "b", 2, KEY)
+
+
+def test_a_message_comes_as_it_was_said() -> None:
+    a, b = pair()
+    said = m.Ask(1, 2, 3, "d", "s", (("p", 1, 2),), 0, 0, 5, "f", 6, (m.Demand("p/1", 1, 2, 3),), ())
+    assert b.unpack(a.pack("b", said)) == ("a", 1, said)
+
+
+def test_what_comes_twice_is_taken_once_in_any_order() -> None:
+    a, b = pair()
+    said = [a.pack("b", m.Compare(n)) for n in range(40)]
+    random.Random(1).shuffle(said)
+    assert sum(b.unpack(data) is not None for data in said * 2) == 40
+    assert b.dropped == {"replayed": 40}
+
+
+def test_each_reason_is_counted_and_nothing_is_taken() -> None:
+    a, b = pair()
+    good = a.pack("b", m.Compare(1))
+    cases = {
+        "foreign": b"hello", "version": good[:2] + bytes([VERSION + 1]) + good[3:],
+        "tag": good[:-1] + bytes([good[-1] ^ 1]), "fleet": Wire("g", "a", 1, KEY).pack("b", m.Compare(1)),
+        "not_ours": a.pack("c", m.Compare(1)), "own": Wire("f", "b", 2, KEY).pack("b", m.Compare(1)),
+    }  # fmt: skip
+    for why, data in cases.items():
+        before = b.dropped[why]
+        assert b.unpack(data) is None and b.dropped[why] == before + 1, why
+    assert Wire("f", "a", 1, b"another key, also long").pack("b", m.Compare(1)) != good
+    assert b.unpack(Wire("f", "a", 9, b"another key, also long").pack("b", m.Compare(1))) is None
+    assert b.unpack(good) is not None, "and what was damaged did not use its number up"
+
+
+def test_a_tag_that_is_right_makes_no_nonsense_good() -> None:
+    a, b = pair()
+    for body in (b"\xc1", b"\x93\x01", b"\x92\xa4Ping\xa1x", b"\xdd\xff\xff\xff\xff" * 4):
+        text = a._pack(Envelope("f", "a", 1, 7, "b", msgspec.Raw(body)))
+        data = b"gs" + bytes([VERSION]) + a._tag(text) + text
+        assert b.unpack(data) is None
+    assert b.dropped["malformed"] == 4
+
+
+@given(st.lists(st.integers(0, 3 * WINDOW), max_size=60))
+def test_a_window_takes_each_number_at_most_once(numbers: list[int]) -> None:
+    window, seen = Window(), set[int]()
+    for number in numbers:
+        fresh = window.fresh(number)
+        assert not (fresh and number in seen)
+        if number > max(seen, default=-1):
+            assert fresh, "the newest is always taken"
+        seen.add(number)
+
+
+def fuzz(count: int, seed: int) -> int:
+    """Datagrams of noise and of damaged messages, to one head: how many were taken.  Its state stays."""
+    rng = random.Random(seed)
+    world = FleetWorld(1, 3, 3, Limit(100.0, 48.0))
+    for head in world.heads.values():
+        head.start()
+    world.run(6_000_000)
+    node = world.heads["h0"].node
+    assert node is not None
+    before = repr((node.view_members(0), node.view_budgets(0)))
+    wire, other = Wire("f", "h0", 1, KEY), Wire("f", "h1", 2, KEY)
+    said = [other.pack("h0", message) for message in (
+        m.Compare(1), m.Vote("h1#s", 9, False, 9, 9), m.Ping(1, ()), m.Petition(1, m.Forget("h2")),
+    )]  # fmt: skip
+    taken = 0
+    for _ in range(count):
+        data = bytearray(rng.choice(said) if rng.random() < 0.8 else rng.randbytes(rng.randrange(200)))
+        for _ in range(rng.randrange(1, 4)):
+            kind = rng.random()
+            if kind < 0.5 and data:
+                data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+            elif kind < 0.7:
+                del data[rng.randrange(len(data) + 1) :]
+            elif kind < 0.85:
+                data += rng.randbytes(rng.randrange(1, 40))
+            else:
+                data[3 : 3 + TAG_BYTES] = rng.randbytes(TAG_BYTES)
+        got = wire.unpack(bytes(data))
+        if got is not None and bytes(data) not in said:
+            taken += 1
+            node.receive(world.heads["h0"].now(), *got)
+    assert repr((node.view_members(0), node.view_budgets(0))) == before
+    assert len(wire._windows) <= 1 and len(wire.dropped) < 10, "nothing is kept of what is not taken"
+    return taken
+
+
+def test_damaged_and_foreign_datagrams_change_nothing() -> None:
+    assert fuzz(4000, 1) == 0
