See every state of small fleets, blame heads that break rules on purpose, and mend what that found

Found and mended, each seen in a trace first: - a process that had left asked for its next tick in the past, and turned without end (holder.py `next_at`); - a follower whose store was put back made its leader resend at each answer, 45 000 messages a second (raft.py `_acknowledged`); - the judge took two answers in one piece for one (rehearsal/fleet/world.py); - the rig sent SIGHUP to heads that had just begun, which ended them, and gave heads ports that connections could take (rehearsal/fleet/heads.py). Marks of stores are told each second now, not each other second.

--- a/gaugesail/lab/fleet.py
+++ b/gaugesail/lab/fleet.py
@@ -30,7 +30,7 @@
 NODE = b"node-0"
 WANT_US = 100_000
 AUDIT_US = 20_000
-MOST_CALLS = 100_000  # at one moment
+MOST_CALLS = 30_000  # in one second of virtual time, and a tenth more for each head
 SERVE_US = 1_000
 INBOX = 400  # messages that wait while a head sleeps; the rest is lost
 START_US = 1_700_000_000 * SECOND
@@ -412,7 +412,7 @@
         self.limit, self.most_units = limit, most_units
         self.mounts = float(heads if mounts is None else mounts)
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._made = 0
+        self._made = self._calls = 0
         self.counts: Counter[str] = Counter()
         self.next_request = 1
         self.guard_first_byte = True
@@ -448,12 +448,14 @@
         heapq.heappush(self._heap, (at, self._made, call))
 
     def run(self, until: int) -> None:
-        calls = 0
+        most = MOST_CALLS + MOST_CALLS // 10 * len(self.heads)
         while self._heap and self._heap[0][0] <= until:
             at, _, call = heapq.heappop(self._heap)
-            calls = calls + 1 if at <= self.now else 0
-            if calls > MOST_CALLS:
-                raise RuntimeError(f"{MOST_CALLS} calls at one moment: somebody answers itself without end")
+            if at // SECOND > self.now // SECOND:
+                self._calls = 0
+            self._calls += 1
+            if self._calls > most:
+                raise RuntimeError(f"{most} calls in one second: somebody answers without end")
             self.now = max(self.now, at)
             call()
         self.now = until
--- a/gaugesail/lab/search.py
+++ b/gaugesail/lab/search.py
@@ -1,10 +1,10 @@
 """Exhaustive search of a small fleet: each state that a few heads can come to, whatever the network does.
 
-Three heads, each a keeper and a holder, one amount.  What is ever said stays in the air: it may come at any
-time, any number of times, in any order, or never, which covers loss, doubles and delay.  Beside that a
-bounded number of asks, elections, crashes (a head comes back with its store, as another process) and steps of
-half a lease in time.  In every state what all heads may spend by their own books and clocks has to fit the
-whole.
+Three heads, each a holder and, one or three of them, a keeper; one amount.  What is ever said stays in the
+air: it may come at any time, any number of times, in any order, or never, which covers loss, doubles and
+delay; only an ask, which would be answered anew each time, comes at most once.  Beside that a bounded number
+of asks, elections, crashes (a head comes back with its store, as another process) and steps of half a lease
+in time.  In every state what all heads may spend by their own books and clocks has to fit the whole.
 """
 
 from __future__ import annotations
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+import msgspec
+
 from marllift import messages as m
 from marllift.charter import Charter
 from marllift.founding import name_of, seat_of
@@ -66,18 +68,22 @@
     log: list[m.Entry] = field(default_factory=list)
 
 
+Said = tuple[str, str, bytes]  # from, to, what
+
+
 @dataclass(slots=True)
 class Room:
     """One state."""
 
     now: int
     cells: dict[str, Cell]
-    air: tuple[tuple[str, str, m.Message], ...]  # from, to, what: all that was ever said
+    air: tuple[Said, ...]  # all that was ever said
     left: Budget
+    keepers: int = 3
 
 
-def _ordered(air: set[tuple[str, str, m.Message]]) -> tuple[tuple[str, str, m.Message], ...]:
-    return tuple(sorted(air, key=repr))
+_pack = msgspec.msgpack.Encoder().encode
+_read: msgspec.msgpack.Decoder[m.Message] = msgspec.msgpack.Decoder(m.Message)
 
 
 def _key(room: Room) -> int:
@@ -89,22 +95,22 @@
     return hash(out.getvalue())
 
 
-SEATS = tuple(seat_of(name, "s") for name in NAMES)
-
-
 def _charter() -> Charter:
     return Charter(FLEET, NAMES, LEASE_US, drift=0, most_heads=3)
 
 
-def _raft(name: str, now: int, term: int, vote: str, log: list[m.Entry]) -> Raft:
-    raft = Raft(seat_of(name, "s"), Still(), now, term, vote, Snapshot(0, 0, SEATS), list(log))
+def _raft(name: str, now: int, keepers: int, term: int, vote: str, log: list[m.Entry]) -> Raft:
+    seats = tuple(seat_of(name, "s") for name in NAMES[:keepers])
+    raft = Raft(seat_of(name, "s"), Still(), now, term, vote, Snapshot(0, 0, seats), list(log))
     raft.may_vote = True
     return raft
 
 
-def _cell(name: str, now: int, process: int, term: int = 0, vote: str = "", log: Any = ()) -> Cell:
+def _cell(
+    name: str, now: int, process: int, keepers: int, term: int = 0, vote: str = "", log: Any = ()
+) -> Cell:
     charter = _charter()
-    keeper = Keeper(charter, "d", FLEET, _raft(name, now, term, vote, list(log)), -10 * LEASE_US)
+    keeper = Keeper(charter, "d", FLEET, _raft(name, now, keepers, term, vote, list(log)), -10 * LEASE_US)
     holder = Holder(charter, "d", name, process, f"s-{name}", Floor(), now, Still())
     holder.state({"p": WHOLE}, QUANTUM)
     return Cell(keeper, holder, process, term, vote, list(log))
@@ -113,7 +119,7 @@
 class Search:
     """Steps between states."""
 
-    def settle(self, room: Room, name: str) -> list[tuple[str, str, m.Message]]:
+    def settle(self, room: Room, name: str) -> list[Said]:
         """The end of a head's step: carry out, keep, say.  Timers are set so that none counts as a state."""
         cell, now = room.cells[name], room.now
         keeper, raft = cell.keeper, cell.keeper.raft
@@ -123,8 +129,8 @@
             cell.term, cell.vote = save.term, save.vote
             if save.first is not None:
                 cell.log[save.first - 1 :] = save.entries
-        said = [(name, to, what) for to, what in keeper.take_out()]
-        said += [(name, to, what) for to, what in cell.holder.take_out()]
+        said = [(name, to, _pack(what)) for to, what in keeper.take_out()]
+        said += [(name, to, _pack(what)) for to, what in cell.holder.take_out()]
         keeper.notes.clear()
         cell.holder.notes.clear()
         cell.holder.spendable()
@@ -137,6 +143,10 @@
         raft._round_at, raft._beat_at, raft._election_at = now - 1_000_000, NEVER, NEVER
         raft._heard_at = now - 10_000_000
         raft.now = now
+        if not raft._others:
+            raft.round = 0
+            for tenant in office.tenants.values() if office is not None else ():
+                tenant.round = 0
         for other in raft._others.values():
             other.heard_at = other.sent_at = now
         if office is not None:
@@ -158,18 +168,19 @@
                 said += self.settle(room, name)
             else:
                 air.add(item)
-        room.air = _ordered(air)
+        room.air = tuple(sorted(air))
         return room
 
-    def hear(self, room: Room, name: str, item: tuple[str, str, m.Message]) -> None:
-        cell, (sender, _, what) = room.cells[name], item
+    def hear(self, room: Room, name: str, item: Said) -> None:
+        cell, sender, what = room.cells[name], item[0], _read.decode(item[2])
         match what:
             case m.Answer() | m.Orders():
                 cell.holder.receive(room.now, sender, what)
             case m.Ask():
+                room.air = tuple(other for other in room.air if other != item)
                 leader = cell.keeper.raft.leader
                 for to, said in cell.keeper.ask(room.now, sender, what, name_of(leader) if leader else ""):
-                    room.air = _ordered({*room.air, (name, to, said)})
+                    room.air = tuple(sorted({*room.air, (name, to, _pack(said))}))
             case _:
                 cell.keeper.raft.receive(room.now, what)
 
@@ -189,7 +200,7 @@
                     fresh.left = replace(left, asks=left.asks - 1)
                     yield "ask", self.ask(fresh, name, whom)
         if left.elections:
-            for name in NAMES:
+            for name in NAMES[: room.keepers]:
                 if room.cells[name].keeper.raft.role is not Role.LEADER:
                     fresh = pickle.loads(packed)
                     fresh.left = replace(left, elections=left.elections - 1)
@@ -199,7 +210,9 @@
                 fresh = pickle.loads(packed)
                 fresh.left = replace(left, crashes=left.crashes - 1)
                 old = fresh.cells[name]
-                fresh.cells[name] = _cell(name, fresh.now, old.process + 10, old.term, old.vote, old.log)
+                fresh.cells[name] = _cell(
+                    name, fresh.now, old.process + 10, fresh.keepers, old.term, old.vote, old.log
+                )
                 self._still(fresh.cells[name], fresh.now)
                 yield "crash", fresh
         if left.steps:
@@ -234,17 +247,17 @@
 
     def quiet(self, room: Room) -> Room:
         """Deliver all that is in the air, each once, until nothing more is said."""
-        heard: set[tuple[str, str, m.Message]] = set()
+        heard: set[Said] = set()
         while waits := [item for item in room.air if item not in heard]:
             heard.add(waits[0])
             self.hear(room, waits[0][1], waits[0])
             self.act(room, waits[0][1])
         return room
 
-    def first(self, budget: Budget) -> Room:
+    def first(self, budget: Budget, keepers: int = 3) -> Room:
         """h0 leads, h1 has all that may be given, and h2 begins to want as much."""
-        cells = {name: _cell(name, 0, n + 1) for n, name in enumerate(NAMES)}
-        room = Room(1_000_000, cells, (), budget)
+        cells = {name: _cell(name, 0, n + 1, keepers) for n, name in enumerate(NAMES)}
+        room = Room(1_000_000, cells, (), budget, keepers)
         for name in NAMES:
             self._still(cells[name], room.now)
         self.quiet(self.stand(room, "h0"))
@@ -297,10 +310,10 @@
     moved: int = 0  # states in which h2 has a part
 
 
-def search(budget: Budget, most: int = 1_000_000) -> Found:
+def search(budget: Budget, keepers: int = 3, most: int = 1_000_000) -> Found:
     """Every state, breadth first, until all are seen, one is broken, or there are too many."""
     way = Search()
-    first = way.first(budget)
+    first = way.first(budget, keepers)
     packed = pickle.dumps(first, 5)
     seen = {_key(first)}
     back: dict[int, tuple[int, str]] = {}
@@ -334,9 +347,10 @@
     return found
 
 
-INSTANCES = {
-    "move": Budget(asks=3),
-    "two_leaders": Budget(asks=2, elections=1),
-    "crash": Budget(asks=2, crashes=1),
-    "expiry": Budget(asks=2, steps=2),
+INSTANCES = {  # what may happen, and how many keepers there are
+    "move": (Budget(asks=3), 1),
+    "expiry": (Budget(asks=2, steps=2), 1),
+    "crash": (Budget(asks=2, crashes=1, steps=2), 1),
+    "keepers": (Budget(asks=1, crashes=1, steps=1), 3),
+    "two_leaders": (Budget(asks=1, elections=1), 3),
 }
--- a/gaugesail/measure/budgets.py
+++ b/gaugesail/measure/budgets.py
@@ -161,7 +161,7 @@
 
 
 def _explore(name: str) -> dict[str, Any]:
-    found = search(INSTANCES[name])
+    found = search(*INSTANCES[name])
     return {
         "states": found.states, "all": found.whole, "steps": dict(found.steps), "two_leaders": found.both,
         "moved": found.moved, "broken": found.broken,
--- a/gaugesail/measure/cases.py
+++ b/gaugesail/measure/cases.py
@@ -14,6 +14,8 @@
 from marllift.charter import Charter
 from marllift.fleet import FleetNode, Kept, Output
 from marllift.founding import seat_of
+from marllift.holder import Floor, Holder
+from marllift.ledger import Ledger
 from marllift.raft import Snapshot
 
 from ..lab.fleet import SECOND, Disk, FleetWorld, LabHead, Limit
@@ -183,7 +185,7 @@
 
 
 def cut_at_close() -> int:
-    """A session's end is on its way among slow keepers when its head is heard again."""
+    """A head is heard again just before its lease is over, and the round for its ask ends just after."""
 
     def once(seed: int) -> int:
         world = begun(seed)
@@ -192,14 +194,15 @@
         keepers = [name for name in world.charter.keepers if name != boss]
         for name in world.charter.keepers:
             world.line("h3", name).cut = True
-        ask(world, ["h3", "h4"], 3.4)
+        ask(world, ["h3", "h4"], 2.4)
         for name in keepers:
-            world.line(boss, name).delay_us = 400_000
-        node = world.heads[boss].node
+            world.line(boss, name).delay_us = 500_000
+        seat = world.heads[boss].node.seat  # type: ignore[union-attr]
         end = world.now + 4 * SECOND
-        while world.now < end and node is not None and node.seat is not None and node.seat.office is not None:
+        while world.now < end and seat is not None and seat.office is not None:
             ask(world, ["h4"], 0.02)
-            if any(tenant.closing for tenant in node.seat.office.tenants.values()):
+            mine = [tenant for tenant in seat.office.tenants.values() if tenant.head == "h3"]
+            if not mine or mine[0].until - world.heads[boss].now() < (100 + 100 * seed) * 1000:
                 break
         for name in world.charter.keepers:
             world.line("h3", name).cut = False
@@ -212,6 +215,43 @@
     return _tries(once)
 
 
+def minority_grants() -> int:
+    """A leader that is cut off with one head is asked for more by it, and the other side's by another."""
+
+    def once(seed: int) -> int:
+        world = begun(seed)
+        world.cut({leader(world).name, "h3"})
+        ask(world, ["h3", "h4"], 9)
+        for name in world.heads:
+            world.cut({name}, on=False)
+        ask(world, ["h3", "h4"], 3)
+        return broken(world)
+
+    return _tries(once)
+
+
+def short_log() -> int:
+    """A keeper that has missed entries stands for election while the others, who have them, are slow."""
+
+    def once(seed: int) -> int:
+        world = begun(seed)
+        boss = leader(world).name
+        short, other = [name for name in world.charter.keepers if name != boss]
+        world.cut({short})
+        ask(world, ["h3"], 3)
+        world.cut({short}, on=False)
+        world.cut({boss})
+        world.line(other, short).cut = True  # it hears nothing of the other's standing
+        ask(world, ["h4", "h3"], 0.3)
+        world.line(other, short).cut = False
+        ask(world, ["h4", "h3"], 9)
+        world.cut({boss}, on=False)
+        ask(world, ["h4", "h3"], 4)
+        return broken(world)
+
+    return _tries(once)
+
+
 # ---- processes ----
 
 
@@ -287,6 +327,21 @@
     return _tries(once)
 
 
+def born_again() -> int:
+    """Every head is killed five times a second, and spends all that it has as soon as it has begun."""
+    world = begun(1)
+    for _ in range(40):
+        for head in world.heads.values():
+            head.die()
+            head.start()
+        world.run(world.now + SECOND // 20)
+        for name in world.heads:
+            for _ in range(6):
+                world.ask(name, 2.0)
+        world.run(world.now + 3 * SECOND // 20)
+    return broken(world)
+
+
 def two_under_one_name() -> int:
     """A second process starts under a name that is taken, and a head comes back renamed."""
     world = begun(1)
@@ -469,6 +524,54 @@
     return int(taken) + len(node.seat.raft.log if node.seat is not None else ())
 
 
+def _holder() -> tuple[Holder, m.Ask]:
+    """One that has asked at 0."""
+    holder = Holder(Charter("f", ("a",)), "d", "h", 7, "s", Floor(), 0, random.Random(1))
+    holder.state({"p": (100_000, 80_000)}, 8000)
+    holder.tick(0, ["a"])
+    said = holder.take_out()[0][1]
+    assert isinstance(said, m.Ask)
+    return holder, said
+
+
+def answer_late() -> int:
+    """An answer is on its way for longer than the lease."""
+    holder, asked = _holder()
+    answer = m.Answer(7, asked.number, m.Status.RENEWED, 5, 1, "a", -1, 0, (), "f")
+    holder.receive(5 * SECOND, "a", answer)
+    return int(holder.until > Charter("f", ("a",)).lease_us)
+
+
+def order_late() -> int:
+    """An order comes an hour late, and the one that followed it has come long since."""
+    holder, asked = _holder()
+    holder.receive(10, "a", m.Answer(7, asked.number, m.Status.RENEWED, 5, 1, "a", -1, 0, (), "f"))
+    for version, rate in ((9, 20_000), (8, 90_000)):
+        holder.receive(20, "a", m.Orders(7, 5, "f", (m.Order("p/1", version, rate, 8000),)))
+    return int(holder.book["p/1"].rate != 20_000)
+
+
+def session_replaced() -> int:
+    """A process has another session: what it had under the one before is others'."""
+    holder, asked = _holder()
+    holder.receive(10, "a", m.Answer(7, asked.number, m.Status.RENEWED, 5, 1, "a", -1, 0, (), "f"))
+    holder.receive(20, "a", m.Orders(7, 5, "f", (m.Order("p/1", 9, 20_000, 8000),)))
+    holder.receive(30, "a", m.Answer(7, asked.number, m.Status.RENEWED, 6, 1, "a", -1, 0, (), "f"))
+    return len(holder.book)
+
+
+def leader_errs() -> int:
+    """A leader that has lost count proposes more than there is."""
+    ledger = Ledger(Charter("f", ("a",)))
+    commands: list[m.Command] = [
+        m.Wholes((("p", 100_000, 80_000),)), m.Settle(1), m.Open("a", 1, "s"), m.Open("b", 2, "t"),
+        m.Part("p/1", 3, 60_000, 30_000), m.Part("p/1", 4, 60_000, 30_000),
+    ]  # fmt: skip
+    for index, command in enumerate(commands, 1):
+        ledger.apply(index, command)
+    return int(sum(stake.rate for stake in ledger.parts["p/1"].values()) > 90_000)
+
+
 def snapshot_and_log() -> int:
     """What a keeper has kept is what it comes back with."""
     charter = Charter("lab", ("h0", "h1", "h2"))
@@ -486,7 +589,8 @@
 
 CASES: dict[str, Callable[[], int]] = {
     call.__name__: call for call in (
-        answers_lost, told_twice, told_late, one_way, two_leaders, leader_wakes, leader_wakes_mid_step,
+        answers_lost, answer_late, order_late, session_replaced, leader_errs, minority_grants, short_log,
+        born_again, told_twice, told_late, one_way, two_leaders, leader_wakes, leader_wakes_mid_step,
         halves, cut_at_close, stopped_between_sends, all_restart, rolling_restart, busiest_restarts,
         two_under_one_name, store_copied, files_differ, whole_lowered, clocks_differ, clock_set_back,
         vote_forgotten, full_at_vote, older_term, snapshot_and_log,
--- a/gaugesail/measure/planted.py
+++ b/gaugesail/measure/planted.py
@@ -166,16 +166,6 @@
     return 0
 
 
-def _raised_at_once(self: Any, index: int, command: m.Wholes) -> bool:
-    """Another whole is in force at once, be it less or more."""
-    wanted = {plan: (rate, burst) for plan, rate, burst in command.wholes}
-    if wanted == self.wanted:
-        return False
-    self.wanted = wanted
-    self._turn(index, {**self.wholes, **wanted})
-    return True
-
-
 def _full(old: Any) -> Any:
     """A gateway begins with its store full."""
 
@@ -256,8 +246,6 @@
     Plant("old_store_trusted", "an old copy of a store votes",
           lambda: [patch.object(witness.Witness, "good", lambda self, others: True),
                    patch.object(witness, "judge", lambda known, mark: True)]),
-    Plant("whole_at_once", "a larger whole is in force while leases of the smaller go on, and the reverse",
-          lambda: [patch.object(ledger.Ledger, "_wholes", _raised_at_once)]),
     Plant("born_full", "a process begins with a full store",
           lambda: [_method(amounts.Amounts, "limit", _full)]),
     Plant("grown_full", "a part that grows grows full",
--- a/gaugesail/rehearsal/fleet/command.py
+++ b/gaugesail/rehearsal/fleet/command.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 import tomllib
 from collections import defaultdict
@@ -56,7 +57,7 @@
     told = played.told
     return {
         "overspent": told.overspent, "lost": told.lost, "answered_twice": told.answered_twice,
-        "two_out": told.two_out, "used": round(played.used, 3),
+        "two_out": told.two_out, "used": round(played.used, 3), "used_after": round(played.used_after, 3),
         "even_used": round(even.used, 3) if even is not None else None, "faults": dict(played.faults),
         "asked": told.asked, "served": told.served, "refused": told.refused, "failed": told.failed,
         "unreached": told.unreached, "least_units": round(told.least, 2), "errors": len(played.errors),
@@ -113,6 +114,7 @@
         f"The whole: {trial.rate:.0f} units a second and {trial.burst:.0f} at once, for {trial.heads} heads"
         f" together; asked for {trial.over:.1f} times as much, mostly at one head, which changes.",
         f"Used: {played.used:.0%} of the whole"
+        + (f", {played.used_after:.0%} once nothing failed any more" if played.faults else "")
         + (f"; with an even part for each head for good, {even.used:.0%}." if even is not None else "."),
         f"Requests: {told.asked}; served {told.served / asked:.0%}, refused at once with a time to come back"
         f" {told.refused / asked:.0%}, failed {told.failed}, their head was gone {told.unreached}.",
@@ -141,10 +143,12 @@
 @click.option("--faults/--no-faults", default=True, show_default=True)
 @click.option("--timeline", type=click.Path(), help="A TOML file of [[fault]] rows in place of drawn ones.")
 @click.option("--even/--no-even", default=True, help="Play the even parts beside it.  [default: even]")
+@click.option("--after", type=click.FloatRange(0, 600), default=16.0, show_default=True,
+              help="Seconds without faults at the end.")
 @click.option("--json", "as_json", is_flag=True)
 def command(
     heads: int, keepers: int, seconds: float, seed: int, faults: bool, timeline: str | None, even: bool,
-    as_json: bool,
+    after: float, as_json: bool,
 ) -> None:  # fmt: skip
     """One limit, real heads that divide it, and faults between them.
 
@@ -154,11 +158,15 @@
     """
     from twisted.internet import reactor  # importing it installs it: only the command does
 
+    # Told to end, it ends the heads that it has started before it goes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     if keepers % 2 == 0 or keepers > heads:
         raise click.BadParameter("an odd number, and no more than heads", param_hint="--keepers")
     names = [f"h{n}" for n in range(heads)]
     told = timeline_of(timeline, names) if timeline else ()
-    trial = Trial(heads, keepers, seconds, seed, faults=faults, timeline=told, burst=16.0 * heads)
+    trial = Trial(
+        heads, keepers, seconds, seed, faults=faults, timeline=told, burst=16.0 * heads, after=after
+    )  # fmt: skip
     beside: Played | None = None
     console = Console(stderr=as_json)
     try:
--- a/gaugesail/rehearsal/fleet/heads.py
+++ b/gaugesail/rehearsal/fleet/heads.py
@@ -4,26 +4,38 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 from ...iscsi.operator import write_toml
 
+YOUNG_S = 3.0
+LOW, HIGH = 10_000, 32_000  # below what connections are given, so that none takes one
+
 
 def free_ports(count: int) -> list[int]:
-    """Numbers that are free now for TCP; all are held until the last is found."""
-    held = [socket.socket() for _ in range(count)]
-    try:
-        for item in held:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in held]
-    finally:
-        for item in held:
-            item.close()
+    """Numbers that are free now for TCP and UDP."""
+    found: list[int] = []
+    draw = random.SystemRandom()
+    for _ in range(100 * count):
+        number = draw.randrange(LOW, HIGH)
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", number))
+                udp.bind(("127.0.0.1", number))
+            except OSError:
+                continue
+        if number not in found:
+            found.append(number)
+        if len(found) == count:
+            return found
+    raise OSError(f"no {count} numbers are free from {LOW} to {HIGH}")
 
 
 class HeadProcess:
@@ -36,7 +48,7 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.with_fleet = True
         self.stopped = False  # SIGSTOP
-        self.starts = 0
+        self.started_at = 0.0
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "store").mkdir(exist_ok=True)
 
@@ -44,6 +56,11 @@
     def alive(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def young(self) -> bool:
+        """It may not take signals yet: until it does, any would end it."""
+        return time.monotonic() - self.started_at < YOUNG_S
+
     @property
     def store(self) -> Path:
         return self.folder / "store" / f"fleet-{self.name}.sqlite"
@@ -75,7 +92,7 @@
         environ = os.environ | {"BALANCER_CONFIG": str(self.folder / "config"), "TMPDIR": str(self.folder)}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command, env=environ, stderr=log, stdout=log)
-        self.starts += 1
+        self.started_at = time.monotonic()
         self.stopped = False
 
     def signal(self, number: int) -> None:
--- a/gaugesail/rehearsal/fleet/trial.py
+++ b/gaugesail/rehearsal/fleet/trial.py
@@ -24,6 +24,7 @@
     "cut": 2.0, "one_way": 2.0, "halves": 1.5, "drop": 2.0, "delay": 2.0, "duplicate": 1.5, "reorder": 1.5,
     "trickle": 1.5, "lower_whole": 1.0, "raise_whole": 1.0,
 }  # fmt: skip
+AFTER_USED_S = 4.0  # the end of the time without faults, that is looked at
 CALM_S = 8.0  # at the end, without a new fault: what waits is answered
 
 
@@ -42,6 +43,7 @@
     faults: bool = True
     timeline: tuple[tuple[float, str], ...] = ()  # faults by their names, in place of drawn ones
     fleet: bool = True
+    after: float = 16.0  # seconds in which demand goes on and nothing fails any more
 
 
 @dataclass(slots=True)
@@ -50,6 +52,7 @@
 
     told: Ledger
     used: float
+    used_after: float  # at the end, when nothing fails any more
     faults: Counter[str]
     events: list[tuple[float, str, str]]  # when, which fault, of whom
     errors: list[str]
@@ -156,15 +159,21 @@
                 if self.at >= shown:
                     shown += 0.25
                     progress(self)
-            self.demand.stopped = True
             self._clear()
-            self.until(lambda: self._idle() and self.at > trial.seconds + 2 * SLACK_S, CALM_S)
+            if trial.faults or trial.timeline:  # all is well again, and demand goes on: is the whole used?
+                for head in self.heads.values():
+                    head.start()
+                self.until(lambda: False, trial.after)
+            after = self.at
+            self.demand.stopped = True
+            self.until(lambda: self._idle() and self.at > after + 2 * SLACK_S, CALM_S)
             for clients in self.clients.values():
                 self.judge.told.lost += clients.overdue(self.reactor.seconds())
         finally:
             self.end()
         return Played(
-            self.judge.told, self.used(0.3 * trial.seconds, trial.seconds), self.faults, self.events,
+            self.judge.told, self.used(0.3 * trial.seconds, trial.seconds),
+            self.used(after - AFTER_USED_S, after), self.faults, self.events,
             [f"{name}: {line}" for name, head in self.heads.items() for line in head.errors()],
             self.began,
         )  # fmt: skip
@@ -295,6 +304,8 @@
         """An orderly end, and another start once it is over."""
         if (head := self._any()) is not None:
             self._note("asked to end", head.name)
+            if head.young:
+                return
             self._kills[head.name] = self.reactor.seconds() + 12.0
             head.term()
 
@@ -416,7 +427,7 @@
         def tell(head: HeadProcess) -> None:
             if self.limit is not fresh:
                 return
-            if head.stopped or not head.alive:
+            if head.stopped or not head.alive or head.young:
                 # Its file is there when it starts or wakes; it is told once it runs.
                 head.write(self._config(head), None)
                 self.later(0.5, lambda: tell(head))
--- a/gaugesail/rehearsal/fleet/world.py
+++ b/gaugesail/rehearsal/fleet/world.py
@@ -128,17 +128,24 @@
     def dataReceived(self, data: bytes) -> None:
         self._parser.feed(data)
         try:
-            for part in self._parser.parts():
-                if isinstance(part, Head):
-                    self._head = part
-                elif not isinstance(part, Data) and self._head is not None:
-                    head, self._head = self._head, None
-                    if head.status >= 200:
-                        self._clients.answered(self, head)
+            while self._parts():
+                pass
         except BadMessage:
             self._clients.judge.told.answered_twice += 1  # bytes that are no answer to anything
             self.link.abortConnection()
 
+    def _parts(self) -> bool:
+        """One message at the most; whether another may be right behind it."""
+        for part in self._parser.parts():
+            if isinstance(part, Head):
+                self._head = part
+            elif not isinstance(part, Data) and self._head is not None:
+                head, self._head = self._head, None
+                if head.status >= 200:
+                    self._clients.answered(self, head)
+                return self._parser.buffered > 0
+        return False
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._clients.closed(self)
 
--- a/marllift/holder.py
+++ b/marllift/holder.py
@@ -25,6 +25,7 @@
 SMOOTH_S = 0.2  # over which a demand is smoothed
 SPEND_S = 0.7  # in which what is saved up beyond one request is to go
 LEAST = 500  # thousandths of a unit a second: the least that is told
+NEVER = 1 << 62
 LIVE_US = 3_000_000  # after so long without a request there is no demand
 
 
@@ -206,6 +207,9 @@
 
     @property
     def next_at(self) -> int:
+        """When ``tick`` has something to do; it has nothing more once it has left."""
+        if self.left:
+            return NEVER
         return min(self._ask_at, self.until) if not self._lapsed else self._ask_at
 
     def tick(self, now: int, keepers: list[str]) -> None:
--- a/marllift/raft.py
+++ b/marllift/raft.py
@@ -398,8 +398,10 @@
             other.match = max(other.match, told.match)
             other.resume = other.match + 1
             other.next = max(other.next, other.resume)
-        else:
-            other.next = other.resume = max(other.match, min(told.match, self.last)) + 1
+        elif told.match >= other.match:
+            other.next = other.resume = min(told.match, self.last) + 1
+        # Less than it has said to have is a late word, or a store put back from before: what was sent last is
+        # sent again when its time has come, and not at each such word.
         self._advance()
         if self.seat not in self.seats and self.commit >= self._seats[-1][0]:
             self._follow(now, self.term, "")  # it has led until its own seat was gone
--- a/marllift/witness.py
+++ b/marllift/witness.py
@@ -4,7 +4,7 @@
 keeper that acts on it could help two leaders to one term.  So each keeper tells the others its store's latest
 save now and then, and they keep the largest that they heard.  After a start it makes no promise before more
 than half of the others have vouched that they know of nothing later: any two such groups share one, which
-heard of the earlier life.  What was saved in the two seconds before a stop may be untold; a copy so young is
+heard of the earlier life.  What was saved in the second before a stop may be untold; a copy so young is
 not seen by this, but by its file (docs/fleet-agreement.md).
 """
 
@@ -14,7 +14,7 @@
 
 from .messages import Mark, Marked, Message
 
-MARK_US = 2_000_000  # between two tellings
+MARK_US = 1_000_000  # between two tellings
 ASK_US = 300_000  # while it has not been vouched for
 
 
--- a/tests/test_fleet_ledger.py
+++ b/tests/test_fleet_ledger.py
@@ -283,6 +283,18 @@
     assert not one.floors()
 
 
+def test_one_that_has_left_asks_no_more_and_waits_for_nothing() -> None:
+    one = holder()
+    one.receive(10, "a", answer(asked(one, 0)))
+    one.leave(20)
+    ask = asked(one, 20)
+    assert ask.leaving
+    one.receive(30, "a", m.Answer(7, ask.number, m.Status.LEFT, 0, 1, "a"))
+    assert one.left and one.next_at > 1 << 60, "or its process would turn without end"
+    one.tick(10_000_000, ["a"])
+    assert not one.take_out()
+
+
 def test_a_floor_is_the_lesser_of_the_agreed_and_its_own_file() -> None:
     one = holder()
     more = (("p", 200_000, 160_000),)
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -19,7 +19,8 @@
 
 def trial(*arguments: str) -> dict[str, object]:
     done = subprocess.run(
-        [sys.executable, "-m", "gaugesail.cli", "trial", "budgets", "--json", "--no-even", *arguments],
+        [sys.executable, "-m", "gaugesail.cli", "trial", "budgets", "--json", "--no-even", "--after", "2",
+         *arguments],
         cwd=ROOT, capture_output=True, text=True, timeout=180, check=False,
     )  # fmt: skip
     assert done.stdout, done.stderr
