--- /dev/null
+++ b/gaugesail/measure/fleet_cost.py
@@ -0,0 +1,103 @@
+"""`gaugesail measure fleet-cost`: what a request costs a head among others, against a head alone.
+
+Real heads on loopback in one run, asked in turn: a keeper that leads and a head that is no keeper, in one
+fleet, and one without a fleet.  What counts is the processor time of each head's process a request.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ..rehearsal.fleet.trial import UP_S, NotUp, Rig, Trial
+
+RATE = 100_000.0  # units a second: nothing is refused
+AT_ONCE = 8
+
+
+def cpu_s(pid: int) -> float:
+    """Processor time of a process so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Asked:
+    """One head and its clients."""
+
+    def __init__(self, rig: Rig, name: str) -> None:
+        self.rig, self.head, self.clients = rig, rig.heads[name], rig.clients[name]
+        self.costs: list[float] = []
+
+    def batch(self, requests: int) -> float:
+        """Seconds of processor time a request."""
+        assert self.head.process is not None
+        told, before = self.rig.judge.told, cpu_s(self.head.process.pid)
+        start = told.served + told.refused + told.failed
+        asked = 0
+        while (done := told.served + told.refused + told.failed - start) < requests:
+            while asked < requests and asked - done < AT_ONCE:
+                self.clients.ask(1)
+                asked += 1
+            self.rig.reactor.iterate(0.001)
+        return (cpu_s(self.head.process.pid) - before) / requests
+
+
+def measured(reactor: Any, requests: int, batches: int) -> dict[str, Any]:
+    """The ratios of the costs, all batches of each head together."""
+    with tempfile.TemporaryDirectory(prefix="gaugesail-cost-") as folder:
+        trial = Trial(heads=2, keepers=1, rate=RATE, burst=RATE, faults=False)
+        rigs = [
+            Rig(reactor, trial, Path(folder) / "on"),
+            Rig(reactor, replace(trial, heads=1, fleet=False), Path(folder) / "off"),
+        ]
+        try:
+            for rig in rigs:
+                for head in rig.heads.values():
+                    head.start()
+                if not rig.until(rig._up, UP_S):
+                    raise NotUp("a head did not begin to serve")
+            heads = {
+                "holder": Asked(rigs[0], "h1"), "keeper": Asked(rigs[0], "h0"), "alone": Asked(rigs[1], "h0")
+            }  # fmt: skip
+            rigs[0].until(lambda: False, 5.0)
+            for one in heads.values():  # warm, and what is asked for is granted
+                one.batch(requests)
+            for _ in range(batches):
+                for one in heads.values():
+                    one.costs.append(one.batch(requests))
+        finally:
+            for rig in rigs:
+                rig.end()
+    cost = {name: sum(one.costs) / len(one.costs) for name, one in heads.items()}
+    return {
+        "ratio": round(cost["holder"] / cost["alone"], 3),
+        "keeper_ratio": round(cost["keeper"] / cost["alone"], 3),
+        **{f"{name}_us": round(1e6 * each, 1) for name, each in cost.items()},
+        "requests": requests * batches, "refused": sum(rig.judge.told.refused for rig in rigs),
+    }  # fmt: skip
+
+
+@click.command("fleet-cost")
+@click.option("--requests", type=click.IntRange(100, 1_000_000), default=1500, show_default=True,
+              help="A batch.")
+@click.option("--batches", type=click.IntRange(1, 1000), default=12, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def command(requests: int, batches: int, as_json: bool) -> None:
+    """What a request costs a head among others, against a head alone, in one run."""
+    from twisted.internet import reactor  # importing it installs it: only the command does
+
+    try:
+        told = measured(reactor, requests, batches)
+    except NotUp as error:
+        raise click.ClickException(str(error)) from None
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        for key, value in told.items():
+            click.echo(f"{key:>14}  {value}")
--- /dev/null
+++ b/tests/test_fleet_rules.py
@@ -0,0 +1,287 @@
+"""A gateway's store, a leader's office and a fleet's founding, by examples."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaugesail.measure.planted import planted
+from marllift import interface as api
+from marllift import messages as m
+from marllift.amounts import FLOOR_HOLD_US, Amounts, Store
+from marllift.charter import Charter
+from marllift.founding import Founded, Founding, name_of, seat_of, store_of
+from marllift.granting import COMPLY_US, Office
+from marllift.ledger import Ledger
+from marllift.raft import Raft, Snapshot
+
+SECOND = 1_000_000
+PLAN = api.Plan("p", 100.0, limit=100.0, limit_burst=80.0)
+
+
+def amounts(fleet: bool = True) -> tuple[Amounts, Store]:
+    settings = api.Settings(classes=(api.RequestClass("r", 1, 2),), plans=(PLAN,), fleet=fleet)
+    made = Amounts(settings, 0)
+    return made, made.limit(0, PLAN, 1, 5.0)
+
+
+# ---- a gateway's store ----
+
+
+def test_a_store_begins_empty_and_fills_at_its_part_until_the_lease_is_over() -> None:
+    made, store = amounts()
+    made.shares(0, api.Shares(2 * SECOND, (("p", 1, 50.0, 40.0),), (("p", 2.0, 8.0),)))
+    made.fill(SECOND // 2, store, 5.0, 1)
+    assert store.units == 26.0
+    made.fill(10 * SECOND, store, 5.0, 1)
+    assert store.units == 8.0, "of what the part had saved up only the floor's burst is left"
+
+
+def test_what_grows_grows_empty_and_what_shrinks_loses_the_rest() -> None:
+    made, store = amounts()
+    made.shares(0, api.Shares(9 * SECOND, (("p", 1, 50.0, 40.0),), ()))
+    made.shares(2 * SECOND, api.Shares(9 * SECOND, (("p", 1, 90.0, 70.0),)))
+    assert store.units == 40.0
+    made.shares(2 * SECOND, api.Shares(9 * SECOND, (("p", 1, 10.0, 5.0),)))
+    assert store.units == 5.0
+    made.shares(2 * SECOND, api.Shares(9 * SECOND, anew=True))
+    assert store.units == 0.0 and made.rights(3 * SECOND, "p", 1) == (0.0, 0.0)
+
+
+def test_a_first_send_is_tied_to_the_lease_that_it_rests_on() -> None:
+    made, store = amounts()
+    assert made.take(0, store, 1.0) == FLOOR_HOLD_US, "a floor needs no lease; it is begun soon or not at all"
+    made.shares(0, api.Shares(7 * SECOND, (("p", 1, 50.0, 40.0),)))
+    assert made.take(SECOND, store, 1.0) == 7 * SECOND
+    assert made.take(8 * SECOND, store, 1.0) == 8 * SECOND + FLOOR_HOLD_US
+    alone, its = amounts(fleet=False)
+    assert alone.take(0, its, 1.0) == 0
+
+
+def test_its_own_file_bounds_what_the_fleet_says() -> None:
+    made, store = amounts()
+    made.shares(0, api.Shares(9 * SECOND, (("p", 1, 500.0, 400.0),)))
+    made.fill(SECOND // 2, store, 5.0, 1)
+    assert store.units == 50.0
+
+
+def test_what_was_asked_for_is_told_once() -> None:
+    made, store = amounts()
+    made.asked(0, store, 1, 3.0)
+    made.take(0, store, 2.0)
+    assert made.wants(0) == [("p", 1, 3.0, 2.0, 0.0)] and made.wants(0) == []
+
+
+spans = st.lists(
+    st.tuples(st.integers(0, 3 * SECOND), st.floats(0, 100), st.floats(0, 80), st.integers(0, 4 * SECOND),
+              st.floats(0, 20)),
+    max_size=20,
+)  # fmt: skip
+
+
+@given(spans)
+def test_no_more_is_spent_than_its_rights_allowed(told: list[tuple[int, float, float, int, float]]) -> None:
+    """Against a plain reckoning: what comes in is at most rate times time while the lease runs."""
+    made, store = amounts()
+    now = until = 0
+    rate = came = spent = 0.0
+    for span, new_rate, burst, lease, units in told:
+        came += rate * max(0, min(now + span, until) - now) / SECOND
+        now += span
+        made.fill(now, store, 5.0, 1)
+        if store.units >= units:
+            made.take(now, store, units)
+            spent += units
+        made.shares(now, api.Shares(now + lease, (("p", 1, new_rate, burst),)))
+        rate, until = new_rate, now + lease
+    assert spent <= came + 1e-6
+
+
+# ---- the office ----
+
+CHARTER = Charter("f", ("a",), most_heads=2)
+
+
+class Leader:
+    """A keeper alone that leads, and its office."""
+
+    def __init__(self) -> None:
+        self.now = 100 * SECOND
+        self.raft = Raft("a#1", random.Random(1), self.now, snapshot=Snapshot(0, 0, ("a#1",)), may_vote=True)
+        self.raft.tick(self.now + 9 * SECOND)
+        self.ledger = Ledger(CHARTER)
+        self.pump()
+        self.office = Office(CHARTER, "d", "f", self.ledger, self.raft, self.now, False)
+        self.number = 0
+
+    def pump(self) -> None:
+        office: Any = getattr(self, "office", None)
+        for _ in range(6):
+            self.raft.flush(self.now)
+            for index, command in self.raft.committed():
+                done = self.ledger.apply(index, command)
+                if office is not None:
+                    office.applied(self.now, index, command, done)
+            if office is not None:
+                office.tick(self.now)
+            self.now += 30_000
+
+    def ask(self, process: int, session: int = 0, **more: Any) -> list[Any]:
+        self.number += 1
+        given: dict[str, Any] = {
+            "charter": "d", "store": f"s{process}", "wholes": (("p", 100_000, 80_000),), "slot": -1,
+            "floor": 0, "quantum": 4000, "fleet": "f", "seen": 0, "demands": (), "held": (),
+        } | more  # fmt: skip
+        self.office.ask(self.now, f"h{process}", m.Ask(process, self.number, session, **given))
+        self.pump()
+        return [said for _, said in self.office.take_out()]
+
+
+def want(rate: int) -> tuple[m.Demand, ...]:
+    return (m.Demand("p/1", rate, 1000, rate),)
+
+
+def test_a_session_is_opened_and_its_part_granted_once_it_is_written() -> None:
+    leader = Leader()
+    (answer,) = leader.ask(1)
+    assert answer.status is m.Status.RENEWED and answer.session in leader.ledger.sessions
+    leader.now += 10 * SECOND  # the whole is settled
+    said = leader.ask(1, answer.session, demands=want(50_000))
+    orders = [one for one in said if isinstance(one, m.Orders)]
+    stake = leader.ledger.parts["p/1"][answer.session]
+    assert orders and orders[-1].orders[0].version == stake.version and stake.rate >= 50_000
+
+
+def test_less_is_asked_for_and_more_given_only_when_it_was_given_up() -> None:
+    leader = Leader()
+    one, two = (leader.ask(n)[0].session for n in (1, 2))
+    leader.now += SECOND
+    leader.ask(1, one), leader.ask(2, two)
+    leader.now += 3_200_000
+    leader.ask(1, one), leader.ask(2, two)
+    leader.ask(1, one, demands=want(200_000))
+    had = leader.ledger.parts["p/1"][one]
+    assert had.rate > 80_000
+    said = leader.ask(2, two, demands=want(200_000))
+    lower = [order for told in said if isinstance(told, m.Orders) for order in told.orders if order.lower]
+    assert lower and leader.ledger.parts["p/1"][one].rate == had.rate, "asked, and not written down yet"
+    leader.ask(1, one, demands=want(200_000), held=(m.Held("p/1", had.version, 45_000, lower[0].burst),))
+    assert leader.ledger.parts["p/1"][one].rate <= 45_000
+    assert leader.ledger.parts["p/1"][two].rate >= 40_000
+    assert leader.ledger.sums("p/1")[0] <= 90_000
+
+
+def test_a_lease_that_ran_out_is_closed_after_it_has_surely_run_out_and_not_renewed_then() -> None:
+    leader = Leader()
+    asked_at = leader.now
+    session = leader.ask(1)[0].session
+    until = leader.office.tenants[session].until
+    assert until >= asked_at + CHARTER.count_us > asked_at + CHARTER.lease_us  # its clock may be slow
+    leader.now = until
+    leader.office.tick(leader.now)
+    assert not leader.office.tenants[session].closing
+    leader.now = until + 1
+    leader.office.tick(leader.now)
+    assert leader.office.tenants[session].closing
+    assert not [one for one in leader.ask(1, session) if getattr(one, "status", None) is m.Status.RENEWED]
+    assert session not in leader.ledger.sessions
+    assert leader.ask(1, session)[0].status is m.Status.UNKNOWN
+
+
+def test_a_file_that_differs_a_log_that_is_short_and_an_end_in_order() -> None:
+    leader = Leader()
+    assert leader.ask(1, charter="other")[0].status is m.Status.CHARTER
+    session = leader.ask(1)[0].session
+    assert leader.ask(1, session, seen=10_000)[0].status is m.Status.UNKNOWN
+    assert leader.ask(1, session, leaving=True)[0].status is m.Status.LEFT
+    assert session not in leader.ledger.sessions
+    assert leader.ask(1, session)[0].status is m.Status.UNKNOWN
+
+
+def test_who_keeps_what_a_lowered_whole_has_no_room_for_is_renewed_no_more() -> None:
+    leader = Leader()
+    session = leader.ask(1)[0].session
+    for _ in range(5):
+        leader.now += SECOND
+        leader.ask(1, session, demands=want(200_000))
+    less = (("p", 20_000, 80_000),)
+    leader.ask(1, session, demands=want(200_000), wholes=less)
+    leader.now += COMPLY_US
+    leader.ask(1, session, demands=want(200_000), wholes=less)
+    leader.now += 1000
+    said = leader.ask(1, session, demands=want(200_000), wholes=less)
+    assert not [one for one in said if getattr(one, "status", None) is m.Status.RENEWED]
+
+
+def test_an_office_whose_guards_are_away_is_found() -> None:
+    with planted("closing_renewed"):
+        leader = Leader()
+        session = leader.ask(1)[0].session
+        tenant = leader.office.tenants[session]
+        tenant.ask = m.Ask(1, 9, session, "d", "s1", (), -1, 0, 1, "f", 0)
+        tenant.round, tenant.closing = 0, True
+        leader.office.tick(leader.now)
+        assert [one for _, one in leader.office.take_out() if isinstance(one, m.Answer)]
+
+
+# ---- founding ----
+
+
+def founders(names: tuple[str, ...] = ("a", "b", "c")) -> dict[str, Founding]:
+    return {name: Founding(name, f"s-{name}", names, "d", Founded()) for name in names}
+
+
+def talk(all_: dict[str, Founding], now: int, deaf: str = "") -> None:
+    said = [(name, to, what) for name, one in all_.items()
+            for to, what in one.tick(now, bool(one.kept.fleet))]  # fmt: skip
+    while said:
+        sender, to, what = said.pop(0)
+        if to in all_ and deaf not in (sender, to):
+            assert isinstance(what, m.Hello | m.Bind)
+            said += [(to, *answer) for answer in all_[to].receive(sender, what)]
+
+
+def test_a_fleet_is_founded_once_all_keepers_are_there() -> None:
+    all_ = founders()
+    for n in range(4):
+        talk(all_, n * SECOND, deaf="c")
+    assert not any(one.kept.fleet for one in all_.values())
+    for n in range(4, 8):
+        talk(all_, n * SECOND)
+    assert len({one.kept.fleet for one in all_.values()}) == 1 and all_["a"].kept.fleet
+    assert all_["c"].kept.seats == tuple(sorted(seat_of(name, f"s-{name}") for name in "abc"))
+    assert (name_of("x#y#z"), store_of("x#y#z")) == ("x#y", "z")
+
+
+def test_who_is_bound_to_one_founder_is_bound_to_no_other() -> None:
+    all_ = founders()
+    b = all_["b"]
+    b.receive("a", m.Bind("d", "s-a"))
+    b.receive("a", m.Bind("d", "another store under that name"))
+    assert b.kept.bound == "s-a" and b.dirty
+    b.receive("c", m.Bind("d", "s-c"))
+    assert b.kept.bound == "s-a", "only the first of the names founds"
+    told = m.Hello("d", "s-a", "fleet", (seat_of("a", "x"), seat_of("b", "s-b")), "x")
+    b.receive("a", told)
+    assert not b.kept.fleet, "that fleet was founded by another store"
+
+
+def test_strangers_are_told_and_a_fresh_store_asks_for_a_seat() -> None:
+    all_ = founders()
+    for n in range(6):
+        talk(all_, n * SECOND)
+    a = all_["a"]
+    a.receive("b", m.Hello("other file", "s-b", "", (), ""))
+    assert "differs" in a.strange["b"]
+    a.receive("b", m.Hello("d", "s-b", "another", (), ""))
+    assert "another fleet" in a.strange["b"]
+    fresh = Founding("c", "fresh", ("a", "b", "c"), "d", Founded())
+    for to, said in fresh.tick(9 * SECOND, False):
+        assert isinstance(said, m.Hello | m.Bind)
+        for back, answer in all_[to].receive("c", said):
+            assert back == "c" and isinstance(answer, m.Hello | m.Bind)
+            fresh.receive(to, answer)
+    assert fresh.kept.fleet == a.kept.fleet and a.applicants()["c"] == "fresh"
