--- a/gaugesail/fleet/agent.py
+++ b/gaugesail/fleet/agent.py
@@ -14,8 +14,7 @@
 from twisted.internet.error import CannotListenError
 
 from marllift import interface as api
-from marllift.fleet import FleetNode, Loaded, Output
-from marllift.holder import Spendable
+from marllift.fleet import FleetNode, Loaded, Output, amount_of, shares_of
 from marllift.messages import Forget, Message
 
 from ..core.engine import Engine
@@ -163,7 +162,8 @@
                 self._store = None
                 return  # said by the next tick, without what this step was for
         if out.shares is not None:
-            self._share(out.shares)
+            assert self._engine is not None
+            self._engine.share(shares_of(out.shares))
         for to, message in out.sends:
             if to == self._settings.head:
                 self._clock.call_later(0, lambda m=message: self._heard(self._settings.head, self.process, m))  # type: ignore[misc]
@@ -176,17 +176,6 @@
             loud = event in ("store_failed", "log_broken", "stores_are_old", "store_is_old", "name_taken")
             (self._log.error if loud else self._log.info)(f"fleet_{event}", **told)
 
-    def _share(self, told: Spendable) -> None:
-        parts = []
-        for amount, rate, burst in told.parts:
-            plan, _, volume = amount.rpartition("/")
-            parts.append((plan, int(volume, 16), rate / 1000, burst / 1000))
-        floors = None
-        if told.floors is not None:
-            floors = tuple((plan, rate / 1000, burst / 1000) for plan, rate, burst in told.floors)
-        assert self._engine is not None
-        self._engine.share(api.Shares(told.until, tuple(parts), floors, told.anew))
-
     # ---- time ----
 
     def _plan(self) -> None:
@@ -211,7 +200,7 @@
             return
         worth = {plan.name: max(1, round(plan.price * 1000)) for plan in self._terms.plans}
         asked = {
-            f"{plan}/{volume:x}": (units, spent, saved, worth.get(plan, 1000))
+            amount_of(plan, volume): (units, spent, saved, worth.get(plan, 1000))
             for plan, volume, units, spent, saved in self._engine.wants()
         }
         self._step(lambda node, now: node.want(now, asked))
--- a/marllift/fleet.py
+++ b/marllift/fleet.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from . import interface as api
 from . import messages as m
 from .charter import Charter
 from .founding import Founded, Founding, name_of, seat_of
@@ -81,6 +82,25 @@
     notices: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
 
 
+def amount_of(plan: str, volume: int) -> str:
+    """The name under which the fleet divides the limit of one volume."""
+    return f"{plan}/{volume:x}"
+
+
+def shares_of(told: Spendable) -> api.Shares:
+    """What the gateway is told: by plan and volume, in units."""
+    parts = []
+    for amount, rate, burst in told.parts:
+        plan, _, volume = amount.rpartition("/")
+        parts.append((plan, int(volume, 16), rate / 1000, burst / 1000))
+    floors = told.floors
+    return api.Shares(
+        told.until, tuple(parts),
+        None if floors is None else tuple((plan, rate / 1000, burst / 1000) for plan, rate, burst in floors),
+        told.anew,
+    )  # fmt: skip
+
+
 class FleetNode:
     """The fleet's decisions at one head; the same calls give the same outputs."""
 
