--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 from hypothesis import given
+from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from gaugesail.measure.planted import planted
 from marllift import interface as api
@@ -15,6 +17,7 @@
 from marllift.charter import Charter
 from marllift.founding import Founded, Founding, name_of, seat_of, store_of
 from marllift.granting import COMPLY_US, Office
+from marllift.holder import Floor, Holder
 from marllift.ledger import Ledger
 from marllift.raft import Raft, Snapshot
 
@@ -285,3 +288,65 @@
             assert back == "c" and isinstance(answer, m.Hello | m.Bind)
             fresh.receive(to, answer)
     assert fresh.kept.fleet == a.kept.fleet and a.applicants()["c"] == "fresh"
+
+
+class Leases(RuleBasedStateMachine):
+    """Two holders and a leader; what is said comes late, twice, in any order or never, and time passes."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.leader = Leader()
+        self.air: list[tuple[int, Any]] = []  # for which holder, 0: the leader
+        self.holders = {
+            n: Holder(CHARTER, "d", f"h{n}", n, f"s{n}", Floor(), self.leader.now, random.Random(n))
+            for n in (1, 2)
+        }
+        for one in self.holders.values():
+            one.state({"p": (100_000, 80_000)}, 4000)
+
+    def say(self) -> None:
+        for n, one in self.holders.items():
+            self.air += [(0, (n, said)) for _, said in one.take_out()]
+        for to, said in self.leader.office.take_out():
+            self.air.append((int(to[1:]), said))
+
+    @rule(n=st.sampled_from([1, 2]), rate=st.sampled_from([0, 20, 60, 200]))
+    def want(self, n: int, rate: int) -> None:
+        one, now = self.holders[n], self.leader.now
+        one.want(now, {"p/1": (rate / 10, rate / 10, 0.0, 1000)} if rate else {})
+        one.tick(now, ["a"])
+        self.say()
+
+    @precondition(lambda self: self.air)
+    @rule(pick=st.integers(0, 99), again=st.booleans())
+    def hear(self, pick: int, again: bool) -> None:
+        place = pick % len(self.air)
+        to, said = self.air[place]
+        if not again:
+            del self.air[place]
+        if to:
+            self.holders[to].receive(self.leader.now, "a", said)
+        else:
+            self.leader.office.ask(self.leader.now, f"h{said[0]}", said[1])
+            self.leader.pump()
+        self.say()
+
+    @rule(span=st.sampled_from([50_000, 300_000, 1_000_000, 4_100_000]))
+    def pass_time(self, span: int) -> None:
+        self.leader.now += span
+        for one in self.holders.values():
+            one.tick(self.leader.now, ["a"])
+        self.leader.pump()
+        self.say()
+
+    @invariant()
+    def rights_fit_the_whole(self) -> None:
+        now = self.leader.now
+        parts = [one.book["p/1"] for one in self.holders.values() if now < one.until and "p/1" in one.book]
+        floors = CHARTER.floor(100_000, 80_000)
+        assert sum(part.rate for part in parts) + 2 * floors[0] <= 100_000
+        assert sum(part.burst for part in parts) + 2 * floors[1] <= 80_000
+
+
+Leases.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestLeases = Leases.TestCase
