--- a/tests/test_fleet_ledger.py
+++ b/tests/test_fleet_ledger.py
@@ -180,7 +180,7 @@
         assert again.dump() == self.ledger.dump()
 
 
-AnyLog.TestCase.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+AnyLog.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
 TestAnyLog = AnyLog.TestCase
 
 claims = st.dictionaries(
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -149,5 +149,5 @@
         self.mine = rank(self.one.me)
 
 
-AnyRumours.TestCase.settings = settings(max_examples=50, stateful_step_count=25, deadline=None)
+AnyRumours.TestCase.settings = settings(max_examples=50, stateful_step_count=25)
 TestAnyRumours = AnyRumours.TestCase
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -348,5 +348,5 @@
         assert sum(part.burst for part in parts) + 2 * floors[1] <= 80_000
 
 
-Leases.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=40, deadline=None)
+Leases.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=40)
 TestLeases = Leases.TestCase
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -483,5 +483,5 @@
         assert found.due >= 0 and len({ticket.mark for ticket in tickets}) == len(tickets)
 
 
-Tickets.TestCase.settings = hypothesis_settings(max_examples=50, stateful_step_count=25, deadline=None)
+Tickets.TestCase.settings = hypothesis_settings(max_examples=50, stateful_step_count=25)
 TestTickets = Tickets.TestCase
