Delete what the fleet's code no longer uses; one way for ctl to show a page

Need: a re-read of the whole change found a count and two fields that nobody read (rehearsal/fleet/world.py outcomes, the agent's _want_at), a method without a caller (witness.py forget), the sizes of requests written twice, and two commands of ctl that differed in their page alone.

--- a/gaugesail/fleet/agent.py
+++ b/gaugesail/fleet/agent.py
@@ -49,7 +49,6 @@
         self._terms: api.Settings | None = None
         self._tick: Call | None = None
         self._tick_at = 0
-        self._want_at = 0
         self._closed = self._waiting = False
 
     # ---- life ----
@@ -84,7 +83,6 @@
             "fleet_begins", fleet=settings.charter.name, head=settings.head, address=f"{host}:{port}",
             keeper=self.node.keeper, store=loaded is not None, process=self.process,
         )  # fmt: skip
-        self._want_at = now
         self._step(lambda node, at: node.tick(at))
         self._wants()
         self._sweep()
--- a/gaugesail/fleet/ctl.py
+++ b/gaugesail/fleet/ctl.py
@@ -46,6 +46,17 @@
     return text
 
 
+def _show(at: str, path: str, page: Callable[[dict[str, Any]], list[Any]], as_json: bool) -> None:
+    """What a head tells, as it tells it or as pages."""
+    text = _told(at, "GET", path)
+    if as_json:
+        click.echo(text)
+        return
+    console = Console()
+    for part in page(json.loads(text)):
+        console.print(part)
+
+
 def at_option(call: Callable[..., None]) -> Callable[..., None]:
     return click.option(
         "--at", required=True, envvar="GAUGESAIL_AT", help="The head's second address, HOST:PORT."
@@ -62,13 +73,7 @@
 @click.option("--json", "as_json", is_flag=True)
 def members(at: str, as_json: bool) -> None:
     """Who is in the fleet, as this head sees it."""
-    text = _told(at, "GET", "/fleet/members")
-    if as_json:
-        click.echo(text)
-        return
-    console = Console()
-    for table in members_page(json.loads(text)):
-        console.print(table)
+    _show(at, "/fleet/members", members_page, as_json)
 
 
 def members_page(told: dict[str, Any]) -> list[Any]:
@@ -89,13 +94,7 @@
 
     A keeper tells all that is granted; the leader tells how long each lease still is and what is used too.
     """
-    text = _told(at, "GET", "/fleet/budgets")
-    if as_json:
-        click.echo(text)
-        return
-    console = Console()
-    for part in budgets_page(json.loads(text)):
-        console.print(part)
+    _show(at, "/fleet/budgets", budgets_page, as_json)
 
 
 def budgets_page(told: dict[str, Any]) -> list[Any]:
--- a/gaugesail/rehearsal/fleet/world.py
+++ b/gaugesail/rehearsal/fleet/world.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,6 +16,7 @@
 
 from ...http.parser import Head
 from ...lab.fleet import Judge, Limit
+from ...lab.troubles import MEAN, SIZES
 from ...net import dial
 from ..peers import Directory, HttpConnection, HttpListener
 
@@ -25,8 +26,6 @@
 SLACK_S = 1.0  # beyond its deadline, and an answer is missing
 MOST_CONNECTIONS = 24  # of clients, to one head
 IDLE_S = 5.0  # a client asks on no connection that has rested for longer; the head closes them after 15 s
-SIZES = (1, 1, 2, 2, 2, 3, 4, 8)  # units of a request
-MEAN = sum(SIZES) / len(SIZES)
 
 
 @dataclass(slots=True)
@@ -276,10 +275,3 @@
         "management": f"127.0.0.1:{calls}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": directory.listing(True), "settings": settings,
     }  # fmt: skip
-
-
-def outcomes(told: Ledger) -> Counter[str]:
-    """How requests ended."""
-    return Counter(
-        served=told.served, refused=told.refused, failed=told.failed, unreached=told.unreached
-    )
--- a/marllift/witness.py
+++ b/marllift/witness.py
@@ -83,9 +83,3 @@
             self._vouched.add(sender)
         else:
             self.stale = True
-
-    def forget(self, stores: set[str]) -> None:
-        """Only stores that still have a seat are worth remembering."""
-        for store in self.known.keys() - stores:
-            del self.known[store]
-            self.dirty = True
