Pass on what clients say besides; look for a client's end and a node's at the first byte

Causes and lines: - http/front.py Exchange.head wrote four fields and dropped the rest. Clients of a class that may be repeated under a key send Idempotency-Key, and bricks read it. All end-to-end fields go on now (RFC 9110 7.6.1). - front.dataReceived stopped reading at 16 KiB of pipelined input, after which no end of the client was seen; a request and its end found together (the door, a standstill) were taken for a client that waits. Attempt.moot asks at the first byte (net.hung_up); reading goes on and what is beyond 256 KiB is thrown away, the connection ending there with a 429. Input of a client that does not read had no bound at all. - a large body that is whole left its client's reading paused (Staged, ClientConnection._whole). - bricks.abort closed a turn later (Twisted), so that another attempt's bytes could go first: net.abort. - bricks._rested took connections whose end, or a second answer, was in our kernel unread. - engine._abort called what was never written whole a time-out, so that a class that must not run twice was answered as failed, though it had not run: NO_CONNECTION, and a refusal. - decide._send: what may have run went again after its class's window where its connection came up late. - Retry-After was told, a second as a constant, where the settings forbid it (front.retune, engine.take).

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -107,7 +107,7 @@
             return 0
         if len(self._open) >= self._max_open or self.ended:
             self.counts["refused_at_door"] += 1
-            self._clock.call_later(0, lambda: reply.refused(order.terms.max_hold_off_us))
+            self._clock.call_later(0, lambda: reply.refused(order.terms.hold_off_us))
             return 0
         entry = _Open(ticket, order, reply, now + order.timeout_us)
         self._open[ticket] = entry
@@ -340,7 +340,7 @@
         order = entry.order
         attempt = Attempt(
             action.request, number, action.node, order.shard, order.name, order.payload, now, deadline,
-            before_us=action.before_us,
+            before_us=action.before_us, left=lambda: self._left(entry),
         )  # fmt: skip
         entry.attempts += 1
         entry.out = attempt
@@ -357,13 +357,24 @@
             self._abort(attempt, Result.RESET)
 
     def _abort(self, attempt: Attempt, result: Result) -> None:
-        """End an attempt from here: its connection is aborted before anything else may be sent."""
+        """End an attempt from here: its connection is aborted before anything else may be sent.
+
+        Where its last byte was never written, say as its connection was late, it has not run and won't.
+        """
         try:
-            self._transport.abort(attempt)
+            if self._transport.abort(attempt) is False:
+                result = Result.NO_CONNECTION
         except Exception as error:  # its outcome is owed all the same
             self._log.error("abort_raised", error=repr(error))
         self.attempt_ended(attempt, result)
 
+    def _left(self, entry: _Open) -> bool:
+        """Its client has gone: what the front has not read of that yet counts all the same."""
+        if entry.ticket in self._open and self._tell(entry, "left"):
+            self.client_gone(entry.ticket)
+            return True
+        return False
+
     # ---- final answers ----
 
     def _close(self, entry: _Open) -> None:
@@ -379,9 +390,9 @@
             self.counts["failed"] += 1
             self._tell(entry, "failed", reason)
 
-    def _tell(self, entry: _Open, how: str, what: Any) -> Any:
+    def _tell(self, entry: _Open, how: str, *what: Any) -> Any:
         try:
-            return getattr(entry.reply, how)(what)
+            return getattr(entry.reply, how)(*what)
         except Exception as error:  # a front's fault stays with its one client
             self._log.error("reply_raised", error=repr(error))
             self.counts["reply_raised"] += 1
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -48,6 +48,7 @@
     def served(self, answer: Any) -> None: ...
     def refused(self, hold_off_us: int) -> None: ...
     def failed(self, reason: str) -> None: ...
+    def left(self) -> bool: ...  # its client has gone, though the front may not have read so far
 
 
 @dataclass(slots=True)
@@ -85,10 +86,12 @@
     before_us: int = 0  # not begun by then, it is moot: what it spends was ours until then; 0: at any time
     over: bool = False  # the request has its answer: what is not yet written must not be
     connection: Any = None  # the transport's own
+    left: Callable[[], bool] | None = None  # its client has gone
 
     def moot(self, now: int) -> bool:
-        """Asked at the first byte: its request has its answer, or what it spends is no longer this head's."""
-        return self.over or 0 < self.before_us <= now
+        """Asked at the first byte: its request has its answer, what it spends is no longer this head's, or
+        nobody waits for it any more."""
+        return self.over or 0 < self.before_us <= now or (self.left is not None and self.left())
 
 
 class AttemptSink(Protocol):
@@ -103,7 +106,7 @@
     """Carries attempts to nodes."""
 
     def send(self, attempt: Attempt, sink: AttemptSink) -> None: ...
-    def abort(self, attempt: Attempt) -> None: ...
+    def abort(self, attempt: Attempt) -> bool: ...  # whether its last byte had been written: it may have run
     def stage(self, node: NodeId, order: Order, source: Source) -> Sink | None: ...
     def probe(self, node: NodeId, sink: AttemptSink) -> None: ...
     def close_idle(self, node: NodeId) -> None: ...
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -15,7 +15,7 @@
 
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.ports import Attempt, AttemptSink, Call, Clock, Logger, Order, Reactor, Sink, Source
-from ..net import Connection, attach, dial
+from ..net import Connection, abort, attach, dial, unread
 from .parser import WHOLE_BODY, BadMessage, Data, Head, Parser
 
 IDLE_SHARE = 0.6  # of the time after which the other side closes; a request written then would be reset
@@ -85,19 +85,19 @@
         self.more(first)
         if self._whole and self._attempt is not None:
             self._release(connection, self._attempt)
-        elif not self._paused:
+        elif not (self._paused or self._whole):
             self._source.resume()
 
     # -- the transport tells how the brick reads --
 
     def pauseProducing(self) -> None:
         self._paused = True
-        if self.state == "coming":
+        if self.state == "coming" and not self._whole:
             self._source.pause()
 
     def resumeProducing(self) -> None:
         self._paused = False
-        if self.state == "coming":
+        if self.state == "coming" and not self._whole:
             self._source.resume()
 
     def stopProducing(self) -> None:
@@ -228,7 +228,7 @@
         self._head: Head | None = None
         self._body: Body | None = None
         self._sink: Sink | None = None  # where an answer goes that is being passed on
-        self._written = self._paused = self.lost = False
+        self.written = self._paused = self.lost = False
         self._interim = 0
         self._first_us = self._heard_us = 0  # when the first and the latest byte of the answer came
         self._started_us = self._idled_us = 0  # when it was last taken, and how long it was idle before
@@ -266,7 +266,7 @@
             self._spoilt(Result.NO_CONNECTION)
 
     def _take(self, job: _Job) -> None:
-        self._job, self._written, self._interim = job, False, 0
+        self._job, self.written, self._interim = job, False, 0
         self._first_us = self._heard_us = 0
         self._started_us = self._pool.clock.now_us()
         self._idled_us = self._started_us - self.idle_since
@@ -282,7 +282,7 @@
         if self._first_pull:
             self._first_pull = False  # the call that registering makes
             return
-        self._written = True
+        self.written = True
         self.link.unregisterProducer()
 
     def pauseProducing(self) -> None:
@@ -297,7 +297,7 @@
         if self._job is None:
             self.abort()  # nothing was asked: these bytes belong to no request
             return
-        if not self._written:
+        if not self.written:
             # They answer something else, however good they look.  Our last byte now never leaves, so that the
             # request has not run.
             self._spoilt(Result.NO_CONNECTION)
@@ -395,7 +395,7 @@
         now = self._pool.clock.now_us()
         self._job = _Job(sink, attempt.node, now, now, attempt)
         attempt.connection = self
-        self._written, self._heard_us = True, now
+        self.written, self._heard_us = True, now
         self.length, ends = told["length"], told["ends"] is True
         self._head = Head("", "", 200, {}, told["keep"] is True, self.length, until_close=ends)
         self._parser.state = told["parser"]
@@ -468,7 +468,7 @@
             stale = self._pool.clock.now_us() - self._started_us < STALE_US
             self._pool.idle_book.ended(self._idled_us, stale)
         if job is not None:
-            self._pool.finish(job, Result.RESET if self._written else Result.NO_CONNECTION)
+            self._pool.finish(job, Result.RESET if self.written else Result.NO_CONNECTION)
 
     def _drop(self) -> None:
         if self._body is not None:
@@ -476,12 +476,16 @@
             self._body = None
 
     def abort(self) -> None:
-        """Drop the connection and whatever it still carries."""
+        """Drop the connection and whatever it still carries: that at once, as another attempt may follow."""
+        carries = self._job is not None
         self._job = self._sink = None
         self._drop()
         self._pool.ended(self)
         if not self.lost:
-            self.link.abortConnection()
+            if carries:
+                abort(self.link)
+            else:
+                self.link.abortConnection()
 
 
 def _result(head: Head) -> Result:
@@ -605,15 +609,16 @@
         self._place(staged.job)
         return staged
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort(self, attempt: Attempt) -> bool:
         connection = attempt.connection
         attempt.connection = None
         if isinstance(connection, BrickConnection):
             connection.abort()
-        else:
-            brick = self._bricks.get(attempt.node)
-            if brick is not None:
-                brick.waiting = deque(job for job in brick.waiting if job.attempt is not attempt)
+            return connection.written
+        brick = self._bricks.get(attempt.node)
+        if brick is not None:
+            brick.waiting = deque(job for job in brick.waiting if job.attempt is not attempt)
+        return False
 
     def adopt(self, descriptor: int, told: dict[str, Any], sink: AttemptSink) -> BrickConnection:
         """A connection with a large answer on it, which another process of this head began."""
@@ -674,7 +679,9 @@
         """The connection used last of those that are good and have rested."""
         most = min(self._idle_us, self.idle_book.most_us())
         for connection in reversed(list(brick.idle)):
-            if connection.epoch != brick.epoch or now - connection.idle_since >= most:
+            old = connection.epoch != brick.epoch or now - connection.idle_since >= most
+            # What has come and was not read yet is its end, or bytes that belong to no request.
+            if old or unread(connection.link):
                 connection.abort()
             elif connection.rested_at <= now:
                 brick.idle.remove(connection)
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -17,7 +17,7 @@
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order, Sink, Source
 from ..door import Door
-from ..net import Connection, Emptied
+from ..net import Connection, Emptied, hung_up, unread
 from .bricks import READ_BYTES
 from .parser import WHOLE_BODY, BadMessage, Data, Head, Parser
 
@@ -31,7 +31,8 @@
 SILENT_US = 250_000  # and one that has never sent a byte after this long: clients open one to ask at once
 LINGER_US = 1_000_000  # after an error: until then the client may read it, whatever it still sends
 MAX_DISCARDED = 256 * 1024  # of what it still sends
-MAX_PIPELINED = 16 * 1024  # input beyond the request in hand, before reading pauses
+MAX_PIPELINED = 16 * 1024  # input beyond the request in hand that each client may always have here
+MAX_AHEAD, AHEAD_SHARE = 256 * 1024, 8  # and at most; all together: a part of what buffers may hold
 MARK_US, MOST_MARKS = 5_000, 64  # how finely the times are kept at which pipelined input came
 LEAST_BESIDE = 16  # places for clients beside another process, whatever it still holds
 LATEST = 2  # times its class's deadline: more than a client may ask for
@@ -41,6 +42,13 @@
     431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
     503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }  # fmt: skip
+# Fields of the one connection (RFC 9110 7.6.1), or that the head writes itself; all others are passed on, as
+# an Idempotency-Key, say, is the brick's to read.
+NOT_PASSED = frozenset({
+    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer", "transfer-encoding", "upgrade", "http2-settings", "expect", "content-length", "host",
+    "request-id", "request-timeout-ms",
+})  # fmt: skip
 _HEX16 = re.compile(r"[0-9a-fA-F]{1,16}\Z")
 _BLOCK = re.compile(r"(?:^|;\s*)block=([^;]*)")
 _NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?\Z")
@@ -56,13 +64,14 @@
     target: str
     request_id: str
     body: Body
+    fields: tuple[str, ...] = ()  # what else the client said, to be passed on as it is
     staged: Any = None  # the transport's own: a large body on its way to a brick
 
     def head(self, host: str, left_us: int, length: int | None) -> bytes:
         """The head for a brick; without a length the body goes in chunks."""
         lines = [
             f"{self.method} {self.target} HTTP/1.1", f"Host: {host}", f"Request-Id: {self.request_id}",
-            f"Request-Timeout-Ms: {max(1, left_us // 1000)}",
+            f"Request-Timeout-Ms: {max(1, left_us // 1000)}", *self.fields,
         ]  # fmt: skip
         if length is None:
             lines.append("Transfer-Encoding: chunked")
@@ -77,6 +86,14 @@
             self.staged.broke()
 
 
+def passed_on(headers: dict[str, str]) -> tuple[str, ...]:
+    """The lines of the fields that go on to a brick, whoever they are for."""
+    named = headers.get("connection", "").lower().replace(" ", "").split(",")
+    return tuple(
+        f"{name}: {value}" for name, value in headers.items() if name not in NOT_PASSED and name not in named
+    )
+
+
 def origin_form(target: str) -> str:
     """A target as a brick takes it: clients may send it with scheme and host before, RFC 9112 3.2.2."""
     match = _ORIGIN.match(target)
@@ -134,7 +151,7 @@
             self._set,
             kind,
             time_us,
-            Exchange(head.method, head.target, name, body),
+            Exchange(head.method, head.target, name, body, passed_on(headers)),
             int(shard),
             plan,
             float(units),
@@ -167,6 +184,8 @@
         self._moving = False  # to another process
         self._answered = False  # before its request was whole: the rest is read and thrown away
         self._discarded = 0
+        self._ahead = 0  # bytes of input beyond MAX_PIPELINED
+        self._cut = False  # it sent more than it may: the rest is thrown away
         self._paused_at = 0
         self._since = 0  # when the part of a request that is now arriving began, or came to its turn
         self._got = 0  # bytes of its body
@@ -208,6 +227,8 @@
             self._source.stop()
             self._source = None
         self._drop_order()
+        self._front.ahead -= self._ahead
+        self._ahead = 0
         self._front.closed(self)
 
     def dataReceived(self, data: bytes) -> None:
@@ -216,6 +237,8 @@
             if self._discarded > MAX_DISCARDED and not self._paused and not self.lost:
                 self._pause(True)
             return
+        if self._cut:
+            return
         now = self._heard = self._front.clock.now_us()
         if self._parser.between:
             self._since = now
@@ -228,9 +251,24 @@
             self._marks.append((self._parser.fed, now))
         if self._ticket is None:
             self._read()
-        elif self._parser.buffered > MAX_PIPELINED and not self._paused:
-            # A client that pipelines without end is held by TCP, not by our memory.
-            self._pause(True)
+        self._hold()
+
+    def _hold(self) -> None:
+        """Bound what waits behind the request in hand.  Reading goes on, as the client's end is seen behind
+        all that it has sent: what is too much is thrown away, and the connection ends where that begins."""
+        ahead = 0 if self.closing or self.lost else max(0, self._parser.buffered - MAX_PIPELINED)
+        self._front.ahead += ahead - self._ahead
+        self._ahead = ahead
+        if ahead and (ahead > MAX_AHEAD or self._front.ahead > self._front.most_ahead):
+            self._cut = True
+
+    @property
+    def left(self) -> bool:
+        """The client has gone, though that may be behind what was not read yet."""
+        if not self.lost and hung_up(self.link):
+            self.link.abortConnection()
+            return True
+        return self.lost
 
     def _pause(self, on: bool) -> None:
         now = self._front.clock.now_us()
@@ -268,6 +306,7 @@
             self._source.resume()
         elif self._ticket is None and not self.lost:
             self._read()
+            self._hold()
 
     def stopProducing(self) -> None:
         self._full = False
@@ -292,6 +331,9 @@
                         self._whole()
                 if self._parser.buffered in (before, 0):
                     break
+            if self._cut and self._ticket is None and not (self._full or self.closing or self.lost):
+                self._front.engine.counts["pipelined_too_much"] += 1
+                self._fail(429, "too much at once", self._front.hold_off_us)
         except BadMessage as error:
             self._front.engine.counts["bad_request"] += 1
             self._fail(error.status, str(error))
@@ -368,6 +410,7 @@
             return
         if up is not None:
             up.done()
+            self.resume()  # it has come whole: from here on nobody pauses it, and its client's end is seen
         self._ticket = 0
         self._ticket = self._front.engine.take(order, ClientReply(self), self._came())
 
@@ -382,7 +425,7 @@
         self._front.used(self)
         keep = self._keeps() and not close
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", f"Content-Length: {len(body)}"]
-        if hold_off_us is not None:
+        if hold_off_us:
             lines.append(f"Retry-After: {hold_off_us / 1e6:.3f}")
         if not keep:
             lines.append("Connection: close")
@@ -421,6 +464,7 @@
     def _next(self) -> None:
         if self._ticket is None:
             self._read()
+            self._hold()
 
     def begins(self, source: Source) -> Sink | None:
         """An answer that is passed on as it comes.  Until its end the connection takes nothing else."""
@@ -525,12 +569,21 @@
         else:
             self.link.loseConnection()
 
+    def dismiss(self) -> bool:
+        """Close it as it is idle, unless something has come that was not read yet."""
+        if self.lost or unread(self.link):
+            return False
+        self.close()
+        return True
+
     def sweep(self, now: int) -> None:
         """Ends what takes too long: a request that never becomes whole, a client that reads nothing."""
         if self._full or self.closing:
             if now - self._stuck_since > (LINGER_US if self._lingering else UNREAD_US):
                 self._front.engine.counts["unread"] += not self._lingering
                 self.link.abortConnection()
+        elif self._paused and self.left:
+            pass  # nobody reads it, and it has gone
         elif self._ticket is None and not self._parser.between:
             if not self._paused and now > self._due():
                 self._front.engine.counts["half_sent"] += 1
@@ -588,6 +641,9 @@
         connection = self._take()
         connection.answer(503, b"refused", hold_off_us=hold_off_us or connection._front.hold_off_us)
 
+    def left(self) -> bool:
+        return self._connection is not None and self._connection.left
+
     def failed(self, reason: str) -> None:
         status = {"out of time": 504, "id in use": 409}.get(reason, 500)
         self._take().answer(status, reason.encode())
@@ -613,10 +669,15 @@
         self.limit(max_connections, overflow)
         self._open: OrderedDict[ClientConnection, None] = OrderedDict()
         self._slow: OrderedDict[ClientConnection, int] = OrderedDict()  # bytes that wait to be read
+        self.ahead = 0  # bytes of input that clients have sent beyond their part
+
+    @property
+    def most_ahead(self) -> int:
+        return self.pool.limit * self.pool.size // AHEAD_SHARE
 
     def retune(self, settings: api.Settings) -> None:
         self.reader = OrderReader(settings)
-        self.hold_off_us = settings.max_hold_off_us or 1_000_000
+        self.hold_off_us = settings.hold_off_us
 
     def limit(self, connections: int, overflow: int) -> None:
         """How many clients may be here; beside another process it is half."""
@@ -644,12 +705,13 @@
             # More than its part, so that the next process is short of places: what nobody misses goes now.
             for connection in list(self._open):
                 if connection.may_go(now) > 1:
-                    connection.close()
+                    connection.dismiss()
 
     def sendable(self) -> list[ClientConnection]:
         now = self.clock.now_us()
         # One that has just come is about to ask.
-        return [c for c in self._open if c.idle and (c.asked or now - c.opened_at > SILENT_US)]
+        idle = [c for c in self._open if c.idle and (c.asked or now - c.opened_at > SILENT_US)]
+        return [c for c in idle if not unread(c.link)]
 
     @property
     def connections(self) -> int:
@@ -683,7 +745,7 @@
         """Close one connection that nobody is likely to miss, the longest idle of the readiest kind."""
         now, best, victim = self.clock.now_us(), 0, None
         for connection in self._open:
-            if (ready := connection.may_go(now)) > best:
+            if (ready := connection.may_go(now)) > best and not unread(connection.link):
                 best, victim = ready, connection
                 if best == 3:
                     break
@@ -730,12 +792,14 @@
         left = sum(not connection.closing for connection in self._open) - self._max
         while left > 0 and self._relieve():
             left -= 1
+        if self.closing:  # what had something unread may be idle by now
+            self.close_idle()
 
     def close_idle(self) -> None:
         """From here on an answer ends its connection, and what is idle ends now."""
         self.closing = True
         for connection in list(self._open):
             if connection.idle:
-                connection.close()
+                connection.dismiss()
         if not self._open:
             self.on_idle()
--- a/gaugesail/http/parser.py
+++ b/gaugesail/http/parser.py
@@ -204,7 +204,7 @@
             if key not in headers:
                 headers[key] = text
             elif key not in ("host", "request-id"):
-                headers[key] += ", " + text
+                headers[key] += ("; " if key == "cookie" else ", ") + text
             elif headers[key] != text:
                 raise BadMessage(f"two different values of {key}")
         head = self._answer(lines[0], headers) if self._answers else self._request(lines[0], headers)
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -14,7 +14,7 @@
 
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.ports import Attempt, AttemptSink, Call, Clock, Logger, Order, Reactor, Source
-from ..net import Connection, dial
+from ..net import Connection, abort, dial
 from .operator import NodeLine
 from .pdu import (
     FINAL,
@@ -259,7 +259,7 @@
     def drop(self, result: Result) -> None:
         """End the session at once; what is out on it ends with ``result``."""
         if not self.lost:
-            self.link.abortConnection()
+            abort(self.link)
             self._gone(result)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -364,7 +364,7 @@
         self.clock.call_later(PROBE_US, lambda: self.finish(job, Result.TIMEOUT))
         self._queue(job)
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort(self, attempt: Attempt) -> bool:
         job, attempt.connection = attempt.connection, None
         book = self._books.get(attempt.node)
         if book is not None:
@@ -377,6 +377,8 @@
                     session.abort(job)
                     if session.retiring and not session.jobs:
                         session.logout()
+            return True
+        return False
 
     def stage(self, node: NodeId, order: Order, source: Source) -> None:
         """A command's data is bounded and comes whole before it is taken."""
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -16,7 +16,7 @@
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order, Source
 from ..door import Door
-from ..net import Connection
+from ..net import Connection, hung_up
 from .operator import Extent, Operator, Unit
 from .pdu import (
     FINAL,
@@ -101,6 +101,9 @@
     def refused(self, hold_off_us: int) -> None:
         self.connection.end(self, Status.BUSY)
 
+    def left(self) -> bool:
+        return self.connection.left
+
     def failed(self, reason: str) -> None:
         code = TIMED_OUT if reason == "out of time" else NODE_FAILED
         self.connection.check(self, ABORTED if code is TIMED_OUT else HARDWARE, code)
@@ -131,6 +134,14 @@
     def idle(self) -> bool:
         return not self._tasks
 
+    @property
+    def left(self) -> bool:
+        """The client has gone, though that may be behind what was not read yet."""
+        if not self.lost and hung_up(self.link):
+            self.link.abortConnection()
+            return True
+        return self.lost
+
     def connectionMade(self) -> None:
         self._since = self._front.clock.now_us()
         self.link.setTcpNoDelay(True)
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import os
+import select
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -53,6 +55,37 @@
         port.doRead()
 
 
+def hung_up(link: Any) -> bool:
+    """Whether the other side has ended its sending, or the connection, though we may not have read so far.
+
+    Reading tells that only behind all that was sent before, and not at all while it is paused.
+    """
+    return bool(_polled(link) & (select.POLLRDHUP | select.POLLHUP | select.POLLERR))
+
+
+def unread(link: Any) -> bool:
+    """Whether anything has come that was not read yet: bytes, or the connection's end."""
+    ended = select.POLLIN | select.POLLRDHUP | select.POLLHUP | select.POLLERR
+    return bool(_polled(link) & ended)
+
+
+def _polled(link: Any) -> int:
+    connection = getattr(link, "socket", None)
+    if not isinstance(connection, socket.socket) or connection.fileno() < 0:
+        return 0  # in memory, or closed already
+    look = select.poll()
+    look.register(connection.fileno(), select.POLLIN | select.POLLRDHUP)
+    return next((found for _, found in look.poll(0)), 0)
+
+
+def abort(link: Any) -> None:
+    """End a connection in this call: Twisted closes it a turn later, and what is written before that, to
+    another node, say, would be beside what this one carries."""
+    with suppress(AttributeError, OSError):  # in memory, or it has ended already
+        link.socket.shutdown(socket.SHUT_WR)
+    link.abortConnection()
+
+
 class Emptied:
     """A pull producer that calls once, when all that was written has left the transport's buffer."""
 
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -69,7 +69,7 @@
         self.alone_at = 0.0  # until then another process of this gateway has half of what is rationed
 
     def _settle(self, settings: api.Settings) -> None:
-        self.set, self.hold_off = settings, settings.max_hold_off_us * settings.may_hold_off
+        self.set, self.hold_off = settings, settings.hold_off_us
         self.cold.settle(settings)
         self.amounts.settle(settings)
         self.recovery.settle(settings)
@@ -297,11 +297,14 @@
         self._forget(job)
 
     def _may_repeat(self, job: Job) -> bool:
-        spec, risk = job.spec, job.risky_at
-        window = spec.repeat_window_us - self.tick if spec.effect is Effect.KEYED else 0
-        harmless = risk is None or spec.effect is Effect.SAFE or self.now < risk + window
+        harmless = job.risky_at is None or job.spec.effect is Effect.SAFE or self.now < self._until(job)
         return harmless and job.attempts < job.most and self.now < job.aim_at
 
+    def _until(self, job: Job) -> int:
+        """Before when what may have run may begin again, where its class bounds that; 0: it does not."""
+        bound = job.risky_at is not None and job.spec.effect is Effect.KEYED
+        return (job.risky_at or 0) + job.spec.repeat_window_us - self.tick if bound else 0
+
     # ---- outcomes ----
 
     def _outcome(self, event: api.Outcome) -> None:
@@ -453,7 +456,7 @@
                 volume.share -= job.units
         else:
             self.amounts.extra(self.now)
-        before = job.before if job.risky_at is None else 0  # what may have arrived is spent
+        before = job.before if job.risky_at is None else self._until(job)  # what may have arrived is spent
         self.acts.append(api.Send(job.id, node.id, patience, before))
         node.out[(job.id, job.attempts)] = job
         node.used[job.kind] += 1
--- a/marllift/interface.py
+++ b/marllift/interface.py
@@ -146,6 +146,11 @@
     appointments: bool = True  # who is refused where a shard is away is told a place in its book
     report_fields: tuple[str, ...] = field(default=())
 
+    @property
+    def hold_off_us(self) -> int:
+        """The longest time that a client may be told to stay away; 0: clients are told none."""
+        return self.max_hold_off_us if self.may_hold_off else 0
+
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("classes: at least one is needed")
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -32,6 +32,7 @@
         self.events: list[api.Event] = []
         self.answers: list[tuple[str, Any]] = []
         self.script: dict[type, list[api.Action]] = {}
+        self.gone = False
         transport: Any = self
         self.engine = Engine(SETTINGS, 1, self.clock, transport, transport, make_logger(io.StringIO()), 4)
         gateway: Any = self
@@ -64,6 +65,9 @@
     def failed(self, reason: str) -> None:
         self.answers.append(("failed", reason))
 
+    def left(self) -> bool:
+        return self.gone
+
     def take(self, *actions: api.Action, name: str = "a") -> int:
         self.script[api.Request] = list(actions)
         ticket = self.engine.take(Order(name, SETTINGS, 0, 1_000_000, "payload"), self)
--- /dev/null
+++ b/tests/test_rare_clients.py
@@ -0,0 +1,240 @@
+"""A request whose client has left while it waited is not sent on, however it waits and however it left."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from .turned import End, HeldDials, Turned, turned
+
+Way = Callable[[Turned, End], None]
+BOUND_S = 0.3  # the outer bound of the operators
+
+
+def fin(rig: Turned, client: End) -> None:
+    client.fin()
+
+
+def half(rig: Turned, client: End) -> None:
+    client.half()
+
+
+def rst(rig: Turned, client: End) -> None:
+    client.rst()
+
+
+def buffered(rig: Turned, client: End) -> None:
+    """With more of its requests behind, which the head has and has not read."""
+    client.cram(rig.ask("behind1"))
+    rig.turn(2)
+    client.cram(rig.ask("behind2"))
+    client.fin()
+
+
+def paused(rig: Turned, client: End) -> None:
+    """So much behind it that the head has stopped reading."""
+    client.send(rig.ask("behind") * 100)
+    rig.turn(5)
+    client.fin()
+
+
+def paused_half(rig: Turned, client: End) -> None:
+    client.send(rig.ask("behind") * 100)
+    rig.turn(5)
+    client.half()
+
+
+def paused_rst(rig: Turned, client: End) -> None:
+    client.send(rig.ask("behind") * 100)
+    rig.turn(5)
+    client.rst()
+
+
+def crammed(rig: Turned, client: End) -> None:
+    """So much that its end can't reach the head's machine before the head reads on."""
+    junk = rig.ask("behind") * 8000
+    for _ in range(50):
+        client.cram(junk)
+        rig.turn()
+    client.fin()
+
+
+WAYS: list[Way] = [fin, half, rst, buffered, paused, paused_half, paused_rst, crammed]
+every_way = pytest.mark.parametrize("way", WAYS, ids=lambda way: way.__name__)
+
+
+def fill(rig: Turned, shard: int = 0) -> list[str]:
+    """All slots of a shard's node are taken."""
+    names = [f"fill{n}" for n in range(4)]
+    for name in names:
+        rig.client().send(rig.ask(name, shard=shard))
+    for name in names:
+        rig.bricks[shard].request(name)
+    return names
+
+
+@every_way
+def test_waiting_for_a_slot(way: Way) -> None:
+    with turned() as rig:
+        names, client = fill(rig), rig.client()
+        client.send(rig.ask("left"))
+        rig.pass_time(0.01)
+        way(rig, client)
+        rig.pass_time(BOUND_S)
+        for name in names:
+            rig.bricks[0].answer(name)
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+        assert not rig.bricks[0].saw("behind")
+
+
+def test_a_burst_of_clients_leaves() -> None:
+    with turned() as rig:
+        names, clients = fill(rig), [rig.client() for _ in range(3 * len(WAYS))]
+        for n, client in enumerate(clients):
+            client.send(rig.ask(f"left{n}"))
+        rig.pass_time(0.01)
+        for n, client in enumerate(clients):
+            WAYS[n % len(WAYS)](rig, client)
+        rig.pass_time(BOUND_S)
+        for name in names:
+            rig.bricks[0].answer(name)
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].look().count(b"Request-Id: left")
+        assert not rig.bricks[0].saw("behind")
+
+
+@every_way
+def test_waiting_for_a_further_attempt(way: Way) -> None:
+    with turned() as rig:
+        client = rig.client()
+        client.send(rig.ask("left"))
+        brick = rig.bricks[0]
+        end = brick.request("left")
+        way(rig, client)
+        rig.pass_time(BOUND_S)
+        end.text = b""
+        end.send(b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+        rig.pass_time(1.0)
+        assert not brick.saw("left")
+
+
+@every_way
+def test_waiting_for_a_connection_that_is_coming_up(way: Way, monkeypatch: pytest.MonkeyPatch) -> None:
+    with turned(settings__permissions__connect_timeout_us="2000000") as rig:
+        dials, client = HeldDials(monkeypatch), rig.client()
+        client.send(rig.ask("left"))
+        assert rig.until(lambda: bool(dials.held))
+        way(rig, client)
+        rig.pass_time(BOUND_S)
+        dials.release()
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+
+
+@every_way
+def test_waiting_for_a_shard_that_is_away(way: Way) -> None:
+    with turned() as rig:
+        brick, client = rig.bricks[0], rig.client()
+        rig.watch.send(rig.drain(brick, 2))
+        rig.turn(3)
+        client.send(rig.ask("left"))
+        rig.turn(3)
+        way(rig, client)
+        rig.pass_time(BOUND_S)
+        brick.phase = "Ready"
+        rig.watch.send(rig.told(False, [brick], 3))
+        rig.pass_time(0.4)
+        assert not brick.saw("left")
+
+
+@pytest.mark.parametrize("way", [fin, half, rst, buffered], ids=lambda way: way.__name__)
+def test_waiting_at_the_door(way: Way) -> None:
+    """All places are in use, so that it waits in the kernel with what it has sent; then one comes free, and
+    its request and its end are found together."""
+    with turned(limits__sockets="48") as rig:
+        front, brick = rig.head.front, rig.bricks[0]
+        warm = rig.client()
+        warm.send(rig.ask("warm"))
+        brick.answer("warm")
+        others: list[End] = []
+        while not front.held:  # with bodies that are still coming: none of these goes for another
+            others.append(rig.client())
+            others[-1].send(rig.ask(f"o{len(others)}", "write", body=b"half")[:-1])
+            rig.turn(4)
+        client = rig.client()
+        client.send(rig.ask("left"))
+        rig.pass_time(0.05)
+        way(rig, client)
+        rig.pass_time(BOUND_S)
+        assert front.held
+        others[0].fin()
+        rig.pass_time(0.3)
+        assert not front.held and rig.head.engine.counts["taken"] in (1, 2)
+        assert not brick.saw("left") and not brick.saw("behind1")
+
+
+def test_one_large_body_whole_but_waiting_is_not_ended_when_its_client_has_left() -> None:
+    """Its body is with the brick, all but the end, and the brick reads no more; then its client leaves."""
+    with turned() as rig:
+        fill(rig)
+        brick, client = rig.bricks[0], rig.client()
+        body = b"b" * 600_000
+        client.send(rig.ask("large", "write", body=body)[: -len(body)])
+        sent = 0
+        while sent < len(body):
+            sent += client.cram(body[sent : sent + 16384])
+            rig.turn()
+            if sent < len(body):
+                brick.look()  # so far it reads
+        rig.turn(4)
+        client.rst()
+        rig.pass_time(BOUND_S)
+        for n in range(4):
+            brick.answer(f"fill{n}")
+        rig.pass_time(0.5)
+        assert brick.look().count(b"b") < len(body) + 100 and b"b" * len(body) not in brick.look()
+
+
+def test_a_client_that_sends_on_without_reading_takes_no_more_memory_than_it_may() -> None:
+    with turned(limits__memory_mb="32") as rig:
+        client = rig.client()
+        health = b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n" * 2000
+        connection = None
+        while connection is None or not connection._cut:
+            client.cram(health)
+            rig.turn()
+            connection = next(iter(rig.head.front._open), None)
+        assert connection._full and connection._parser.buffered < 300_000
+        rig.until(client.gone)  # what it may have is answered, and then it is told
+        assert client.text.count(b"200 OK") > 1000 and client.text.count(b"HTTP/1.1 429 ") == 1
+        assert client.text.rindex(b"200 OK") < client.text.index(b"HTTP/1.1 429 ")
+
+
+def test_clients_that_stay_are_served_though_much_waits_behind_them() -> None:
+    """What was mended must not cost those that pipeline and stay."""
+    with turned() as rig:
+        names, client = fill(rig), rig.client()
+        rest = [f"p{n}" for n in range(100)]
+        client.send(b"".join(rig.ask(name) for name in ["first", *rest]))
+        rig.turn(5)
+        for name in names:
+            rig.bricks[0].answer(name)
+        for name in ["first", *rest]:
+            rig.bricks[0].answer(name, name.encode())
+            client.take(b"\r\n\r\n" + name.encode())
+
+
+def test_a_reset_client_leaves_nothing_behind(recwarn: Any) -> None:
+    with turned() as rig:
+        fill(rig)
+        for way in WAYS:
+            client = rig.client()
+            client.send(rig.ask(way.__name__))
+            rig.turn(3)
+            way(rig, client)
+        rig.pass_time(1.0)
+        assert rig.head.engine.open_requests <= 4
+        assert rig.head.front.connections <= 4
