--- /dev/null
+++ b/tests/test_rare_iscsi.py
@@ -0,0 +1,142 @@
+"""The other front, on real sockets: clients that leave while their commands wait, sessions given up."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from gaugesail.iscsi.app import IscsiHead
+from gaugesail.iscsi.operator import read_operator
+from gaugesail.logs import make_logger
+from gaugesail.rehearsal.iscsi_peers import IscsiClient, IscsiNode, operator_file
+from marllift.interface import Result
+
+from .turned import Turning
+
+BOUND_S = 0.3
+
+
+class Rig(Turning):
+    def __init__(self) -> None:
+        super().__init__()
+        self.node = IscsiNode(self.reactor, "n1", 0)
+        config = operator_file([self.node], {})
+        self.head = IscsiHead(self.reactor, read_operator(config, {}), make_logger(self.log), self.clock)
+        self.head.start()
+        self.turn(3)
+
+    def client(self) -> IscsiClient:
+        client = IscsiClient(self.reactor, "c", lambda: self.head.address)
+        client.send(["login"])
+        assert self.until(lambda: bool(client.inbox)) and client.inbox.popleft()[1] == "0x0000"
+        return client
+
+    def saw(self) -> list[str]:
+        """The blocks that commands have come to the node for."""
+        return [words[2] for words in self.node.inbox if words[0] in ("read", "write")]
+
+    def fill(self) -> IscsiClient:
+        client = self.client()
+        for tag in range(4):
+            client.send(["read", f"tag={tag + 1}", f"lba={tag}"])
+        assert self.until(lambda: len(self.saw()) == 4)
+        return client
+
+    def free(self) -> None:
+        for number in list(self.node.held):
+            self.node.send(["data", number, "d"])
+
+
+@contextmanager
+def rigged() -> Iterator[Rig]:
+    rig = Rig()
+    try:
+        yield rig
+    finally:
+        rig.close()
+
+
+def link(client: IscsiClient) -> Any:
+    assert client._connection is not None
+    return client._connection.link
+
+
+def fin(rig: Rig, client: IscsiClient) -> None:
+    link(client).loseConnection()
+    rig.turn(3)
+
+
+def half(rig: Rig, client: IscsiClient) -> None:
+    link(client).socket.shutdown(socket.SHUT_WR)
+
+
+def rst(rig: Rig, client: IscsiClient) -> None:
+    link(client).socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    link(client).abortConnection()
+    rig.turn(3)
+
+
+def paused(way: Callable[[Rig, IscsiClient], None]) -> Callable[[Rig, IscsiClient], None]:
+    """It does not read what it is sent, so that the head has stopped reading it."""
+
+    def leave(rig: Rig, client: IscsiClient) -> None:
+        session = list(rig.head.front._open)[-1]
+        session.pauseProducing()  # as its transport says when nobody reads the other end
+        rig.turn(2)
+        way(rig, client)
+
+    leave.__name__ = f"paused_{way.__name__}"
+    return leave
+
+
+@pytest.mark.parametrize(
+    "way", [fin, half, rst, paused(fin), paused(half), paused(rst)], ids=lambda way: way.__name__
+)
+def test_a_command_whose_client_has_left_while_it_waited_is_not_sent_on(
+    way: Callable[[Rig, IscsiClient], None],
+) -> None:
+    with rigged() as rig:
+        rig.fill()
+        client = rig.client()
+        client.send(["read", "tag=9", "lba=99"])
+        rig.turn(4)
+        way(rig, client)
+        rig.pass_time(BOUND_S)
+        rig.free()
+        rig.pass_time(0.3)
+        assert "lba=99" not in rig.saw() and len(rig.saw()) == 4
+
+
+def test_a_command_that_waits_for_a_client_that_stays_is_sent_on() -> None:
+    with rigged() as rig:
+        rig.fill()
+        client = rig.client()
+        client.send(["read", "tag=9", "lba=99"])
+        rig.pass_time(0.1)
+        rig.free()
+        assert rig.until(lambda: "lba=99" in rig.saw())
+
+
+def test_a_session_that_is_given_up_ends_before_its_commands_may_go_again() -> None:
+    with rigged() as rig:
+        rig.fill()
+        session = rig.head.transport._books[b"n1"].session
+        assert session is not None
+        peer = rig.node.open[0].link.socket
+        session.drop(Result.RESET)
+        peer.setblocking(False)
+        try:
+            left = peer.recv(1 << 20)
+            while left:
+                left = peer.recv(1 << 20)
+            ended = True
+        except BlockingIOError:
+            ended = False
+        except ConnectionError:
+            ended = True
+        assert ended, "its connection is still open when the call returns"
--- a/tests/turned.py
+++ b/tests/turned.py
@@ -33,7 +33,7 @@
 class End:
     """One end of a connection: what came, and whether the other side ended it, and how."""
 
-    def __init__(self, rig: Turned, sock: socket.socket) -> None:
+    def __init__(self, rig: Turning, sock: socket.socket) -> None:
         self.rig, self.sock = rig, sock
         self.text = b""
         self.ended = self.was_reset = False
@@ -100,7 +100,7 @@
 class Place:
     """An address where something listens and accepts when it is told to."""
 
-    def __init__(self, rig: Turned, at: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+    def __init__(self, rig: Turning, at: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self.rig, self.listener = rig, socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(at)
@@ -130,7 +130,7 @@
 class Brick(Place):
     """A brick that holds every request until the test answers it."""
 
-    def __init__(self, rig: Turned, shard: int) -> None:
+    def __init__(self, rig: Turning, shard: int) -> None:
         super().__init__(rig)
         self.shard, self.id, self.phase = shard, f"b{shard}", "Ready"
         self.ends: list[End] = []
@@ -168,10 +168,10 @@
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class Turned:
-    """The head and its peers."""
+class Turning:
+    """A reactor of its own, whose turns and clock are the test's."""
 
-    def __init__(self, **changes: str) -> None:
+    def __init__(self) -> None:
         self.now = 1_000_000.0
         made: Any = EPollReactor
         self.reactor = made()
@@ -179,6 +179,50 @@
         self.ends: list[End] = []
         self.places: list[Place] = []
         self.log = io.StringIO()
+        self.clock = ReactorClock(self.reactor, lambda: round(self.now * 1e9), lambda: 1_700_000_000 * 10**9)
+
+    def turn(self, times: int = 1) -> None:
+        for _ in range(times):
+            self.reactor.iterate(0)
+
+    def until(self, done: Callable[[], bool], seconds: float = 10.0) -> bool:
+        end, turns = self.now + seconds, 0
+        while not done():
+            if self.now >= end:
+                return False
+            turns += 1
+            self.reactor.iterate(0 if turns % 32 else 0.001)
+            self.now += STEP_S
+        return True
+
+    def pass_time(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.turn()
+            self.now += STEP_S
+        self.turn(2)
+
+    def leap(self, seconds: float) -> None:
+        """The process stands still for so long: all that came meanwhile, and all timers, come at once."""
+        self.now += seconds
+
+    def close(self) -> None:
+        for end in self.ends:
+            end.sock.close()
+        for place in self.places:
+            place.listener.close()
+        failure: Any = Failure
+        lost = failure(ConnectionLost())
+        for selectable in self.reactor.removeAll():
+            selectable.connectionLost(lost)
+        self.reactor._poller.close()
+
+
+class Turned(Turning):
+    """The head and its peers."""
+
+    def __init__(self, **changes: str) -> None:
+        super().__init__()
         self.list = Place(self)
         self.bricks = [Brick(self, 0)]
         self.config: dict[str, Any] = {
@@ -188,7 +232,6 @@
         }  # fmt: skip
         for path, value in changes.items():
             defaults.change(self.config, path.replace("__", "."), value)
-        self.clock = ReactorClock(self.reactor, lambda: round(self.now * 1e9), lambda: 1_700_000_000 * 10**9)
         self.head = Head(self.reactor, configuration.read(self.config, {}), make_logger(self.log), self.clock)
         self.stopped: list[float] = []
         self.head.stopped.addCallback(lambda _: self.stopped.append(self.now))
@@ -237,20 +280,6 @@
                  f"X-IO: volume=1,units=1,shard={shard},hosts=1", f"Content-Length: {len(body)}"]  # fmt: skip
         return "\r\n".join(lines).encode() + b"\r\n" + more.encode() + b"\r\n" + body
 
-    def turn(self, times: int = 1) -> None:
-        for _ in range(times):
-            self.reactor.iterate(0)
-
-    def until(self, done: Callable[[], bool], seconds: float = 10.0) -> bool:
-        end, turns = self.now + seconds, 0
-        while not done():
-            if self.now >= end:
-                return False
-            turns += 1
-            self.reactor.iterate(0 if turns % 32 else 0.001)
-            self.now += STEP_S
-        return True
-
     def pass_time(self, seconds: float) -> None:
         """Time goes by; discovery says that nothing has changed."""
         end, beat = self.now + seconds, self.now
@@ -262,21 +291,6 @@
             self.now += STEP_S
         self.turn(2)
 
-    def leap(self, seconds: float) -> None:
-        """The process stands still for so long: all that came meanwhile, and all timers, come at once."""
-        self.now += seconds
-
-    def close(self) -> None:
-        for end in self.ends:
-            end.sock.close()
-        for place in self.places:
-            place.listener.close()
-        failure: Any = Failure
-        lost = failure(ConnectionLost())
-        for selectable in self.reactor.removeAll():
-            selectable.connectionLost(lost)
-        self.reactor._poller.close()
-
 
 @contextmanager
 def turned(**changes: str) -> Iterator[Turned]:
@@ -312,4 +326,4 @@
         self.held = []
 
 
-__all__ = ["HEAD", "Brick", "End", "HeldDials", "Place", "Turned", "chunk", "discovery", "turned"]
+__all__ = ["HEAD", "Brick", "End", "HeldDials", "Place", "Turned", "Turning", "chunk", "discovery", "turned"]
