--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -61,7 +61,7 @@
             log,
             self.transport.listed,
             lambda news: self.engine.listed(news),
-            config.pushed,
+            config.settings.drain_grace_us if config.pushed else None,
         )
         self.needs_list = config.pushed
         self.engine = Engine(config.settings, config.seed, self.clock, self.transport, self.discovery, log)
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -20,7 +20,8 @@
 
 PATH = "/catalog/members"
 SILENCE_US = 4_500_000  # an empty line comes every 2 s; two missing ones and the watch is dead
-LOOK_US = 50_000  # between looks for silence, at the least
+LOOK_US = 20_000  # between looks for silence, at the least
+PUSHED_PART, PUSHED_US = 5, 250_000  # of the time that drains leave: until an agent is asked again; at most
 ANSWER_US = 2_000_000  # until an answer begins: discovery handles calls one after another
 CONNECT_S = 1.0
 MAX_LINE = 4 * 1024 * 1024
@@ -91,7 +92,9 @@
     @property
     def due_us(self) -> int:
         """When it counts as silent."""
-        return self.heard_us + (SILENCE_US if self.follow and self.answered else ANSWER_US)
+        if self.follow and self.answered:
+            return self.heard_us + SILENCE_US
+        return self.heard_us + self._owner.answer_us
 
     def connectionMade(self) -> None:
         host = self._owner.host
@@ -168,7 +171,7 @@
         log: Logger,
         listed: Callable[[dict[bytes, Line | None], bool], None],
         tell: Callable[[NodeList], None],
-        pushed: bool = False,
+        pushed_grace_us: int | None = None,
     ) -> None:
         self._reactor, self._clock, self._log = reactor, clock, log
         self._address, self.host = address, f"{address[0]}:{address[1]}"
@@ -178,7 +181,10 @@
         self._members: dict[str, Any] = {}  # the list as it stands, in discovery's form
         # Where lists are pushed, what the agent beside us has counts as told from our first moment: it is
         # asked for all of it, and until that is there our list may be older than what binds us.
-        self._pushed = pushed
+        self._pushed = pushed_grace_us is not None
+        # It answers at once and at no cost.  One that is silent has lost its own source, and what it gets at
+        # the return of that counts at once too, so that a call must be open then, or follow soon.
+        self._again_us = min(PUSHED_US, (pushed_grace_us or 0) // PUSHED_PART)
         self.up = False  # the list is as good as it can be: a watch has been answered
         self._calls: set[_Call] = set()
         self._dials: set[Deferred[Any]] = set()
@@ -187,6 +193,11 @@
         self._check: Call | None = None
         self._closed = False
 
+    @property
+    def answer_us(self) -> int:
+        """How long a call may wait for its answer to begin."""
+        return self._again_us if self._pushed else ANSWER_US
+
     def retune(self, zones: list[str], kinds: list[str]) -> None:
         self._zones, self._kinds = zones, kinds
 
@@ -217,6 +228,8 @@
 
     def watch(self, on: bool) -> None:
         self._wanted = on
+        if self._closed:
+            return
         if on and self._watching is None:  # a move may have been first: a second watch would be one too many
             self._watching = self._call(f"{PATH}?follow=1&since={self._version}", True)
         elif not on and self._watching is not None:
@@ -302,7 +315,10 @@
             self._watching = None
         if why and not self._closed:
             self._log.warning("discovery_failed", why=why, watch=call.follow)
-            self._tell(NodeList(ListKind.FAILED))
+            if self._pushed and call.follow:
+                self._clock.call_later(self._again_us, lambda: self.watch(self._wanted))
+            else:
+                self._tell(NodeList(ListKind.FAILED))
 
     def close(self) -> None:
         self._closed = True
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -8,7 +8,8 @@
 from dataclasses import fields
 from typing import Any, Protocol
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.error import CannotListenError
 
 from marllift.interface import NodeList, Settings
 
@@ -31,6 +32,7 @@
 LEAST_LONGEST_US = 3_000_000  # SIGKILL comes the longest deadline after SIGTERM, and this at the least,
 END_US = 500_000  # and 0.7 s more: by then all has its answer
 ABLE_US, ABLE_STEP_US = 3_000_000, 20_000  # how long a next process waits for its watch before it serves
+ADDRESS_US = LAST_ACCEPT_US + 500_000  # how long it waits for its address
 SWEEP_US = 250_000
 REPORT_EVERY = 40  # sweeps
 BACKLOG = 512
@@ -94,7 +96,31 @@
         """
         if self.management_address is not None:
             self._listen_for_calls(*self.management_address)
-        return self._handover.ask().addCallback(self._begin)
+        return self._handover.ask().addCallback(self._take_address)
+
+    def _take_address(self, inherited: Inheritance | None) -> Deferred[Any]:
+        """The process before this one may be on its way out and have the address for a moment yet."""
+        if inherited is not None:
+            self._begin(inherited)
+            return succeed(None)
+        begun: Deferred[Any] = Deferred()
+        last = self.clock.now_us() + ADDRESS_US
+
+        def begin() -> None:
+            try:
+                self._begin(None)
+            except CannotListenError:
+                if self.clock.now_us() >= last:
+                    begun.errback()
+                else:
+                    self.clock.call_later(ABLE_STEP_US, begin)
+            except Exception:
+                begun.errback()
+            else:
+                begun.callback(None)
+
+        begin()
+        return begun
 
     def _begin(self, inherited: Inheritance | None) -> None:
         if self._stopping:  # meanwhile it was told to end: nothing was taken, and nothing will be
--- a/tests/test_rare_ends.py
+++ b/tests/test_rare_ends.py
@@ -6,7 +6,7 @@
 
 from gaugesail import config as configuration
 
-from .turned import End, Turned, turned
+from .turned import End, Place, Turned, turned
 
 LONGEST_S = 5.0  # of the settings' deadlines
 KILL_S = LONGEST_S + 0.7
@@ -209,6 +209,38 @@
         rig.close()
 
 
+def test_the_address_is_waited_for_while_a_process_before_is_on_its_way_out() -> None:
+    rig = Turned()
+    try:
+        before = Place(rig)
+        host, port = before.address.split(":")
+        rig.head._listen = (host, int(port))
+        failed: list[object] = []
+        rig.head.start().addErrback(failed.append)
+        rig.pass_time(1.0)
+        assert not failed and not rig.head.front.listening
+        before.listener.close()
+        assert rig.until(lambda: rig.head.front.listening, 1.0)
+        client = rig.client()
+        client.send(rig.ask("a"))
+        rig.bricks[0].answer("a")
+        client.take(b"\r\n\r\nok")
+    finally:
+        rig.close()
+
+
+def test_an_address_that_is_never_free_is_said_so_in_the_end() -> None:
+    rig = Turned()
+    try:
+        host, port = Place(rig).address.split(":")
+        rig.head._listen = (host, int(port))
+        failed: list[object] = []
+        rig.head.start().addErrback(failed.append)
+        assert rig.until(lambda: bool(failed), 5.0)
+    finally:
+        rig.close()
+
+
 def test_a_signal_while_a_pushed_list_is_awaited() -> None:
     rig = Turned(settings__discovery="push")
     try:
