End a connection whose surplus began between requests; accept again as the next process goes

And where the next process had taken over and then goes while this one ends, the port of this one stayed open and unread up to its end, so that who had connected was reset (service.superseded).

Ruled out: a 429 is written already where a part of a request is left, and where the last request is answered in the same turn.

--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -456,7 +456,7 @@
             return
         if self._paused:
             self._pause(False)
-        if self._parser.buffered:
+        if self._parser.buffered or self._cut:
             self._since = self._front.clock.now_us()
             if not self._reading:
                 self._front.clock.call_later(0, self._next)
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -208,6 +208,8 @@
         self._handover.count(self.front.connections)
         if on:
             self.pass_on()
+        elif self._stopping:
+            self._refuse_new()  # who waits in the kernel for the one that has gone is this one's again
 
     def pass_on(self) -> None:
         """Hand to the next process what would not end in the time that this one has."""
@@ -287,6 +289,7 @@
             return
         self.front.listening = self.front.accepting = False
         self._port.stopListening()
+        self._port = None
 
     def _close_idle(self) -> None:
         # Clients of a process that is replaced are in no hurry: each request that crosses a close costs one.
--- a/tests/test_rare_clients.py
+++ b/tests/test_rare_clients.py
@@ -213,6 +213,27 @@
         assert client.text.rindex(b"200 OK") < client.text.index(b"HTTP/1.1 429 ")
 
 
+def test_what_is_thrown_away_may_begin_between_two_requests() -> None:
+    """Where it begins the connection ends, though no part of a request is left there to be refused."""
+    with turned() as rig:
+        fill(rig)
+        client, short = rig.client(), len(rig.ask("x", shard=5, more="X-Pad: \r\n"))
+        refused = rig.ask("x", shard=5, more="X-Pad: " + "p" * (1024 - short) + "\r\n")
+        client.send(rig.ask("first"))
+        rig.turn(3)
+        connection = list(rig.head.front._open)[-1]
+        while not connection._cut:
+            client.send(refused * 16)  # as much as is read at once
+            rig.turn()
+        assert connection._parser.buffered % 1024 == 0
+        client.send(refused)
+        for n in range(4):
+            rig.bricks[0].answer(f"fill{n}")
+        rig.bricks[0].answer("first")
+        assert rig.until(client.gone)
+        assert client.text.count(b"HTTP/1.1 429 ") == 1
+
+
 def test_clients_that_stay_are_served_though_much_waits_behind_them() -> None:
     """What was mended must not cost those that pipeline and stay."""
     with turned() as rig:
--- a/tests/test_rare_ends.py
+++ b/tests/test_rare_ends.py
@@ -209,6 +209,35 @@
         rig.close()
 
 
+def test_the_next_process_goes_while_this_one_ends() -> None:
+    """It had accepted in place of this one: who waits in the kernel now is this one's again."""
+    with turned() as rig:
+        rig.head.superseded(True)
+        rig.head.stop()
+        rig.pass_time(0.5)
+        client = rig.client()
+        client.send(rig.ask("a"))
+        rig.pass_time(0.1)
+        rig.head.superseded(False)
+        rig.bricks[0].answer("a")
+        client.take(b"\r\n\r\nok")
+        ends(rig)
+
+
+def test_the_next_process_says_that_it_serves_and_goes_when_the_port_is_closed() -> None:
+    with turned() as rig:
+        client = rig.client()
+        client.send(rig.ask("a"))
+        rig.bricks[0].request("a")
+        rig.head.stop()
+        rig.pass_time(0.6)
+        rig.head.superseded(True)
+        rig.head.superseded(False)
+        rig.bricks[0].answer("a")
+        client.take(b"\r\n\r\nok")
+        ends(rig)
+
+
 def test_the_address_is_waited_for_while_a_process_before_is_on_its_way_out() -> None:
     rig = Turned()
     try:
