--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -679,8 +679,7 @@
         """The connection used last of those that are good and have rested."""
         most = min(self._idle_us, self.idle_book.most_us())
         for connection in reversed(list(brick.idle)):
-            old = connection.epoch != brick.epoch or now - connection.idle_since >= most
-            if old:
+            if connection.epoch != brick.epoch or now - connection.idle_since >= most:
                 connection.abort()
             elif connection.rested_at <= now:
                 brick.idle.remove(connection)
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -17,7 +17,7 @@
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order, Sink, Source
 from ..door import Door
-from ..net import Connection, Emptied, hung_up, unread
+from ..net import Connection, Emptied, unread
 from .bricks import READ_BYTES
 from .parser import WHOLE_BODY, BadMessage, Data, Head, Parser
 
@@ -264,12 +264,8 @@
 
     @property
     def left(self) -> bool:
-        """The client has gone.  Reading tells so; where we do not read, the socket is asked."""
-        behind = self._paused or self._cut or self._ahead  # much may lie before its end
-        if not self.lost and behind and hung_up(self.link):
-            self.link.abortConnection()
-            return True
-        return self.lost
+        """The client has gone: its end may lie behind much that it sent."""
+        return self.gone(self._paused or self._cut or self._ahead > 0)
 
     def _pause(self, on: bool) -> None:
         now = self._front.clock.now_us()
@@ -570,12 +566,10 @@
         else:
             self.link.loseConnection()
 
-    def dismiss(self) -> bool:
+    def dismiss(self) -> None:
         """Close it as it is idle, unless something has come that was not read yet."""
-        if self.lost or unread(self.link):
-            return False
-        self.close()
-        return True
+        if not (self.lost or unread(self.link)):
+            self.close()
 
     def sweep(self, now: int) -> None:
         """Ends what takes too long: a request that never becomes whole, a client that reads nothing."""
@@ -794,13 +788,16 @@
         while left > 0 and self._relieve():
             left -= 1
         if self.closing:  # what had something unread may be idle by now
-            self.close_idle()
+            self._dismiss_idle()
 
     def close_idle(self) -> None:
         """From here on an answer ends its connection, and what is idle ends now."""
         self.closing = True
+        self._dismiss_idle()
+        if not self._open:
+            self.on_idle()
+
+    def _dismiss_idle(self) -> None:
         for connection in list(self._open):
             if connection.idle:
                 connection.dismiss()
-        if not self._open:
-            self.on_idle()
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -16,7 +16,7 @@
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order, Source
 from ..door import Door
-from ..net import Connection, hung_up
+from ..net import Connection
 from .operator import Extent, Operator, Unit
 from .pdu import (
     FINAL,
@@ -136,11 +136,8 @@
 
     @property
     def left(self) -> bool:
-        """The client has gone.  Reading tells so; where we do not read, the socket is asked."""
-        if not self.lost and self._full and hung_up(self.link):
-            self.link.abortConnection()
-            return True
-        return self.lost
+        """The client has gone: it is not read while it does not read."""
+        return self.gone(self._full)
 
     def connectionMade(self) -> None:
         self._since = self._front.clock.now_us()
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -14,14 +14,26 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 class Connection(Protocol):
     """A protocol whose transport is read as ``link``: Twisted's zope interfaces say nothing to mypy."""
 
+    lost = False
+
     @property
     def link(self) -> Any:
         return self.transport
 
+    def gone(self, behind: bool) -> bool:
+        """The other side has gone.  Reading tells so; where its end may lie behind what is not read, the
+        socket is asked."""
+        if not self.lost and behind and hung_up(self.link):
+            self.link.abortConnection()
+            return True
+        return self.lost
+
 
 class _Factory(Factory):
     noisy = False
@@ -60,13 +72,12 @@
 
     Reading tells that only behind all that was sent before, and not at all while it is paused.
     """
-    return bool(_polled(link) & (select.POLLRDHUP | select.POLLHUP | select.POLLERR))
+    return bool(_polled(link) & ENDED)
 
 
 def unread(link: Any) -> bool:
     """Whether anything has come that was not read yet: bytes, or the connection's end."""
-    ended = select.POLLIN | select.POLLRDHUP | select.POLLHUP | select.POLLERR
-    return bool(_polled(link) & ended)
+    return bool(_polled(link) & (ENDED | select.POLLIN))
 
 
 def _polled(link: Any) -> int:
--- a/marllift/recovery.py
+++ b/marllift/recovery.py
@@ -66,7 +66,7 @@
     def settle(self, settings: api.Settings) -> None:
         """Other settings; tickets and lines stay, under the names of their plans and classes."""
         self._set, self.on = settings, settings.appointments
-        longest = settings.max_hold_off_us * settings.may_hold_off
+        longest = settings.hold_off_us
         if longest != self.horizon:
             self.horizon = longest
             self._level.settle(longest)
--- a/tests/test_rare_lists.py
+++ b/tests/test_rare_lists.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from .turned import HEAD, End, Place, Turned, chunk, turned
+from gaugesail import config as configuration
+from gaugesail.http import discovery
+
+from .turned import HEAD, End, HeldDials, Place, Turned, chunk, turned
 
 TOLD_S = 6.0  # after a watch fell silent all that it missed counts as told
 PUSHED = {"settings__discovery": "push"}
@@ -32,10 +35,9 @@
 
 def missed(rig: Turned, began: float) -> None:
     """A drain that only a new watch tells is kept in time."""
-    rig.bricks[0].phase = "Terminating"
     again = rig.watched()
     assert rig.now - began < TOLD_S - 0.5, "it was opened anew too late"
-    again.send(HEAD + rig.told(False, rig.bricks, 2))
+    again.send(HEAD + rig.drain(rig.bricks[0], 2))
     rig.turn(3)
     assert rig.now - began < TOLD_S
     assert not served(rig, "after")
@@ -77,8 +79,7 @@
         waited = rig.now
         again = rig.watched()
         assert rig.now - waited < 3.0
-        rig.bricks[0].phase = "Terminating"
-        again.send(HEAD + rig.told(False, rig.bricks, 2))
+        again.send(HEAD + rig.drain(rig.bricks[0], 2))
         rig.turn(3)
         assert not served(rig, "after")
 
@@ -101,8 +102,7 @@
         began = rig.now
         again = rig.watched()
         assert rig.now - began < 1.0
-        rig.bricks[0].phase = "Terminating"
-        again.send(HEAD + rig.told(False, rig.bricks, 2))
+        again.send(HEAD + rig.drain(rig.bricks[0], 2))
         rig.turn(2)
         assert not served(rig, "after")
 
@@ -170,10 +170,6 @@
 
 
 def test_another_discovery_while_the_old_one_is_being_dialled(monkeypatch: pytest.MonkeyPatch) -> None:
-    from gaugesail.http import discovery
-
-    from .turned import HeldDials
-
     with turned() as rig:
         dials = HeldDials(monkeypatch, discovery)
         rig.watch.rst()
@@ -191,8 +187,6 @@
 
 
 def reload(rig: Turned, place: Place) -> None:
-    from gaugesail import config as configuration
-
     fresh = rig.config | {"discovery": place.address}
     rig.head.hang_up(lambda: configuration.read(fresh, {}))
 
--- a/tests/turned.py
+++ b/tests/turned.py
@@ -23,7 +23,7 @@
 from gaugesail import config as configuration
 from gaugesail.app import Head
 from gaugesail.core.clock import ReactorClock
-from gaugesail.http import bricks, discovery
+from gaugesail.http import bricks
 from gaugesail.logs import make_logger
 from gaugesail.rehearsal import defaults
 
@@ -326,4 +326,4 @@
         self.held = []
 
 
-__all__ = ["HEAD", "Brick", "End", "HeldDials", "Place", "Turned", "Turning", "chunk", "discovery", "turned"]
+__all__ = ["HEAD", "Brick", "End", "HeldDials", "Place", "Turned", "Turning", "chunk", "turned"]
