--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -61,7 +61,9 @@
             log,
             self.transport.listed,
             lambda news: self.engine.listed(news),
+            config.pushed,
         )
+        self.needs_list = config.pushed
         self.engine = Engine(config.settings, config.seed, self.clock, self.transport, self.discovery, log)
         self.front = ClientFront(
             self.engine,
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -71,6 +71,7 @@
     connect_timeout_us: int
     zones: list[str]
     kinds: list[str]
+    pushed: bool  # lists come from an agent beside the head, and what it has counts as told
     folder: str | None  # for what the next process of this head is to know
     raw: dict[str, Any]  # as it was read
 
@@ -163,12 +164,17 @@
                 int(limits.get("sockets", 1024)),
                 MOST_CALLS if management else 0,
             ),
-            settings=parse_settings("\n".join(flatten(settings | {"domain": domain})).encode()),
+            # On this wire an agent that lists are pushed to is watched like discovery itself.
+            settings=replace(
+                parse_settings("\n".join(flatten(settings | {"domain": domain})).encode()),
+                ask_for_lists=True,
+            ),
             known=data.get("known") or {"revision": 0, "complete": True, "members": []},
             conn_idle_us=int(permissions.get("conn_idle_us", 15_000_000)),
             connect_timeout_us=int(permissions.get("connect_timeout_us", 250_000)),
             zones=[str(zone) for zone in settings.get("zones", [])],
             kinds=[str(kind) for kind in settings.get("flavors", [])],
+            pushed=settings.get("discovery", "push") != "ask",
             folder=environ.get("TMPDIR") or None,
             raw=data,
         )
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -14,16 +14,18 @@
 from marllift.interface import ListKind, Node, NodeList, NodeMode
 
 from ..core.ports import Call, Clock, Logger, Reactor
-from ..net import Connection, dial
+from ..net import Connection, dial, unread
 from .bricks import Line
 from .parser import BadMessage, Data, Head, Parser
 
 PATH = "/catalog/members"
 SILENCE_US = 4_500_000  # an empty line comes every 2 s; two missing ones and the watch is dead
+LOOK_US = 50_000  # between looks for silence, at the least
 ANSWER_US = 2_000_000  # until an answer begins: discovery handles calls one after another
 CONNECT_S = 1.0
 MAX_LINE = 4 * 1024 * 1024
 MODES = {"Ready": NodeMode.READY, "Terminating": NodeMode.DRAINING, "Gone": NodeMode.GONE}
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 _ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})\Z")
 
 
@@ -81,9 +83,16 @@
         self._owner, self._target, self.follow = owner, target, follow
         self._parser = Parser(answers=True, max_body=None)
         self._text = bytearray()
+        self._object = bytearray()  # lines of one that has begun, as lists may come indented
+        self._depth = 0  # of what is open in it
         self.ended = self.answered = False
         self.heard_us = 0
 
+    @property
+    def due_us(self) -> int:
+        """When it counts as silent."""
+        return self.heard_us + (SILENCE_US if self.follow and self.answered else ANSWER_US)
+
     def connectionMade(self) -> None:
         host = self._owner.host
         if self.ended:  # given up while it was being dialled
@@ -102,7 +111,7 @@
                 if isinstance(part, Head):
                     if part.status != 200:
                         raise BadList(f"status {part.status}")
-                    self._owner.up = self._owner.up or self.follow
+                    self._owner.answered(self.follow)
                 elif isinstance(part, Data):
                     self._text += part.data
                     if len(self._text) > MAX_LINE:
@@ -121,8 +130,17 @@
         while (at := self._text.find(b"\n")) >= 0 and not self.ended:
             line = bytes(self._text[:at]).strip()
             del self._text[: at + 1]
-            if line:
-                self._owner.heard(json.loads(line))
+            if not line:
+                continue
+            self._object += line
+            if len(self._object) > MAX_LINE:
+                raise BadList("an object is too long")
+            # No string of JSON goes over a line's end, so that what is open is counted line by line.
+            bare = _STRING.sub(b"", line)
+            self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            if self._depth <= 0:
+                whole, self._object, self._depth = bytes(self._object), bytearray(), 0
+                self._owner.heard(json.loads(whole))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.end("connection lost")
@@ -150,6 +168,7 @@
         log: Logger,
         listed: Callable[[dict[bytes, Line | None], bool], None],
         tell: Callable[[NodeList], None],
+        pushed: bool = False,
     ) -> None:
         self._reactor, self._clock, self._log = reactor, clock, log
         self._address, self.host = address, f"{address[0]}:{address[1]}"
@@ -157,7 +176,10 @@
         self._listed, self._tell = listed, tell
         self._version = 0
         self._members: dict[str, Any] = {}  # the list as it stands, in discovery's form
-        self.up = False  # a watch has been answered
+        # Where lists are pushed, what the agent beside us has counts as told from our first moment: it is
+        # asked for all of it, and until that is there our list may be older than what binds us.
+        self._pushed = pushed
+        self.up = False  # the list is as good as it can be: a watch has been answered
         self._calls: set[_Call] = set()
         self._dials: set[Deferred[Any]] = set()
         self._watching: _Call | None = None
@@ -174,7 +196,7 @@
     def know(self, data: Any) -> NodeList:
         """The list that the configuration brings, perhaps old."""
         version, _, nodes, lines = read_list(data, self._zones, self._kinds)
-        self._version = version
+        self._version = 0 if self._pushed else version
         self._remember(data, True)
         self._listed(lines, True)
         return NodeList(ListKind.CACHED, tuple(nodes))
@@ -237,25 +259,36 @@
         self._dials.add(made)
         made.addErrback(self._no_connection, call)
         made.addBoth(lambda _: self._dials.discard(made))
-        if self._check is None:
-            self._check = self._clock.call_later(500_000, self._look)
+        self._watch_silence()
         return call
 
     def _no_connection(self, failure: Failure, call: _Call) -> None:
         call.end(f"no connection: {failure.value!r}")
 
+    def _watch_silence(self) -> None:
+        if self._check is not None and self._check.active():
+            self._check.cancel()
+        self._check = None
+        if self._calls and not self._closed:
+            due = min(call.due_us for call in self._calls)
+            self._check = self._clock.call_later(max(LOOK_US, due - self.now()), self._look)
+
     def _look(self) -> None:
         """Silence on a connection that stays open is all there is to see of a machine that vanished."""
         self._check = None
         now = self.now()
         for call in list(self._calls):
-            if now - call.heard_us > (SILENCE_US if call.follow and call.answered else ANSWER_US):
+            # After a standstill of ours what came meanwhile may not have been read yet.
+            if now >= call.due_us and not (call.transport is not None and unread(call.link)):
                 call.end("silent")
-        if self._calls and self._check is None and not self._closed:
-            self._check = self._clock.call_later(500_000, self._look)
+        self._watch_silence()
+
+    def answered(self, follow: bool) -> None:
+        self.up = self.up or (follow and not self._pushed)
 
     def heard(self, data: Any) -> None:
         version, full, nodes, lines = read_list(data, self._zones, self._kinds)
+        self.up = True
         if not full and version < self._version:
             return  # an old change, from a call that overlapped the watch
         self._version = version
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -83,6 +83,7 @@
         self._sweeps = 0
         self._reported: Counter[str] = Counter()
         self.companion: Companion | None = None
+        self.needs_list = False  # what it starts with may be older than what binds it
 
     # ---- start ----
 
@@ -96,9 +97,15 @@
         return self._handover.ask().addCallback(self._begin)
 
     def _begin(self, inherited: Inheritance | None) -> None:
+        if self._stopping:  # meanwhile it was told to end: nothing was taken, and nothing will be
+            if inherited is not None:
+                os.close(inherited.fd)
+            return
         host, port = self._listen
         if inherited is None:
             self._port = self._reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+            if self.needs_list:
+                self._port.stopReading()
         else:
             self._port = adopt(self._reactor, inherited.fd, self.front)
             self.engine.recall([str(node).encode() for node in inherited.known.get("seen", [])])
@@ -110,14 +117,14 @@
         if self.companion is not None:
             self.companion.start(self.engine)
         self.clock.call_later(SWEEP_US, self._sweep)
-        if inherited is None:
+        if inherited is None and not self.needs_list:
             self._serve()
         else:
             self._able_by = self.clock.now_us() + ABLE_US
             self._serve_when_able()
 
     def _serve_when_able(self) -> None:
-        """What comes is left to the process before this one until our list is fresh."""
+        """What comes waits, or is left to the process before this one, until our list is fresh."""
         if self._stopping:
             return
         if self.discovery.up or self.clock.now_us() >= self._able_by:
@@ -249,6 +256,9 @@
             self.clock.call_later(ACCEPT_STEP_US, self._refuse_new)
             return
         accept_pending(self._port)
+        if self.front.held and self.clock.now_us() < self._stop_at + LAST_ACCEPT_US:
+            self.clock.call_later(ACCEPT_STEP_US, self._refuse_new)  # more may wait than there were places
+            return
         self.front.listening = self.front.accepting = False
         self._port.stopListening()
 
