--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -35,6 +35,7 @@
 WATCH_US = 250_000  # first wait before subscribing again, doubled up to 8 times
 BELL_PERIOD, BELL_TICK, BELL_WATCH = 1, 2, 3
 RISKY = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # it may have run
+BROKEN = (*RISKY, Result.NO_CONNECTION)  # it may be the fault of one connection alone
 UNENDED = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # it may still be running
 
 
@@ -313,7 +314,9 @@
             return
         self.dirty[node.shard] = self.shards[node.shard]
         job.out, chain, result = False, job.chain, event.result
-        if self.recovery.outcome(self.now, job, result):
+        # The node served what was sent later: this one was lost by itself, say with its connection.
+        alone = result in BROKEN and job.sent_at < node.lived
+        if self.recovery.outcome(self.now, job, result, alone):
             node.windows = [COLD_WINDOW] * TIERS
         node.used[job.kind] -= 1
         # Under one request out in the mean: one, and then a gap (Little's law).
@@ -325,9 +328,7 @@
             node.misses, node.lived = 0, max(node.lived, job.sent_at)
             self.cold.served(node, job.sent_at, job.units)
             job.volume.reserve -= event.others_units
-        elif result in RISKY and job.sent_at < node.lived:
-            pass  # the node served what was sent later: this one was lost by itself, say with its connection
-        elif result not in (Result.MOOT, Result.CANCELLED):
+        elif not alone and result not in (Result.MOOT, Result.CANCELLED):
             # A connection that broke is mostly the connection's fault, a second one in a row the node's.
             broke = result is Result.RESET and not node.misses
             node.misses += 0.5 if broke else 1
