--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -211,7 +211,7 @@
         volume = self._volume(event, terms)
         # A client's repeat has less time than its class, and part of its aim is gone.  Past its aim a request
         # earns next to nothing and delays the rest: there it ends.
-        first = min(now, event.give_up_us - spec.deadline_us)
+        first = self.recovery.first_asked(now, event, kind, event.give_up_us - spec.deadline_us)
         aim_at = min(first + spec.aim_us, event.give_up_us - 2 * self.tick)
         chain = self.chains.setdefault(event.key, Chain()) if spec.ordered and event.key else None
         number = self._place_new(kind) if (movable := event.shard < 0) else event.shard
--- a/marllift/recovery.py
+++ b/marllift/recovery.py
@@ -208,6 +208,23 @@
 
     # ---- requests ----
 
+    def _repeats(self, request: api.Request, ticket: Ticket | None) -> bool:
+        return request.again if self._set.clients_mark else ticket is not None
+
+    def first_asked(self, now: int, request: api.Request, kind: int, earliest: int) -> int:
+        """When the client of a request first asked for it, in microseconds, as far as that can be told.
+
+        A repeat has what is left of its class's time, so that it first asked ``earliest``, which is that time
+        before it gives up, or when its first refusal was kept.  Who asks for the first time with less than
+        the class's time gives up early, and has waited for nothing yet.
+        """
+        if earliest >= now:
+            return now
+        ticket = self.repeats.find(self.repeats.mark(request, kind))
+        if not self._repeats(request, ticket):
+            return now
+        return earliest if ticket is None else max(earliest, ticket.since)
+
     def arrived(self, now: int, job: Job, request: api.Request) -> None:
         """How a request stands in the line of its shard."""
         if not self.on or job.movable:
@@ -218,7 +235,7 @@
             job.hung = ticket.hung
         if (line := self.lines.get(job.shard)) is None:
             return
-        if not (request.again if self._set.clients_mark else ticket is not None):
+        if not self._repeats(request, ticket):
             line.came += job.units
             return
         if line.storm is not None:
