Each fresh request waits for a look of its own; a look that is old is taken again

Two orders in which an attempt began for a client that had left:

Engine._feed and _look_once (core/engine.py 304-314) put the extra look at the sockets before a batch, not before each request. A request fed while the flush for an outcome was due, or before a list or the deadline heap (_due) ran the module, was sent on without one, so that a request found together with its client's end was sent on. Fresh requests are now kept apart (_fresh, _looking) until the sockets have been looked at once after they came, whatever runs the module meanwhile. One look serves all of a turn: no call for a request.

Attempt.moot asked the socket only where reading was paused or much lay ahead. Where one turn of the loop lasts, as it handles another client's megabytes, the end was in the kernel for as long, unread, and a waiting request was sent on in the timers after that turn, or in the turn itself as its connection came up. ReactorClock.polled_us now tells when the latest look began whose finds are all handled; Connection.gone asks the socket where that is over 40 ms ago, or where something came from the client in that look itself, as its end may lie behind.

Ruled out: reading again in each turn (a call for each client); asking for each attempt (a call for each request: a test holds that there is none).

--- a/gaugesail/core/clock.py
+++ b/gaugesail/core/clock.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable
+from typing import Any
 
 from .ports import Call, Reactor
 
@@ -27,10 +28,26 @@
     ) -> None:
         self._reactor, self._monotonic_ns = reactor, monotonic_ns
         self._offset = unix_ns() - monotonic_ns()
+        self._polled_us: int | None = None
+        self._poll: Any = getattr(reactor, "doIteration", None)  # none in memory: there what is sent is there
+        if self._poll is not None:
+            self._polled_us = self.now_us()
+            plain: Any = reactor
+            plain.doIteration = self._turn
 
     def now_us(self) -> int:
         return (self._monotonic_ns() + self._offset) // 1000
 
+    @property
+    def polled_us(self) -> int:
+        return self.now_us() if self._polled_us is None else self._polled_us
+
+    def _turn(self, delay: Any) -> None:
+        """One look of the reactor at its sockets, and the handling of all that it found."""
+        began = self.now_us()
+        self._poll(delay)
+        self._polled_us = began
+
     def call_later(self, delay_us: int, call: Callable[[], None]) -> Call:
         handle: Call = self._reactor.callLater(max(0, delay_us) / 1e6, call)
         return handle
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -57,6 +57,9 @@
         self._names: dict[str, int] = {}  # of what is open or still out
         self._events: list[api.Event] = []
         self._flush: Call | None = None
+        self._fresh: list[api.Request] = []  # taken since the last look at the sockets
+        self._looking: list[api.Request] = []  # taken before it: it comes now
+        self._look: Call | None = None
         self._heap: list[tuple[int, int, int, Any]] = []  # at, order made, what, whose
         self._made = 0
         self._wake: Call | None = None
@@ -259,15 +262,24 @@
     # ---- ticks ----
 
     def _feed(self, event: api.Event) -> None:
+        if isinstance(event, api.Request):
+            # It may have been found together with its client's end: it waits for a whole look at the sockets,
+            # whatever else makes the module run before.  One look serves all that came since the last.
+            self._fresh.append(event)
+            if self._look is None:
+                self._look = self._clock.call_later(0, self._looked)
+            return
         self._events.append(event)
         if self._flush is None and not self._busy:
-            # A request may have been found together with its client's end: one more look at the sockets
-            # comes between, so that it is not sent on.
-            fresh = isinstance(event, api.Request)
-            self._flush = self._clock.call_later(0, self._look_once if fresh else self._flushed)
+            self._flush = self._clock.call_later(0, self._flushed)
 
-    def _look_once(self) -> None:
-        self._flush = self._clock.call_later(0, self._flushed)
+    def _looked(self) -> None:
+        """The sockets are looked at between two calls of this."""
+        seen, self._looking, self._fresh = self._looking, self._fresh, []
+        self._look = self._clock.call_later(0, self._looked) if self._looking else None
+        # Of what has ended meanwhile the module never hears.
+        self._events += [event for event in seen if event.request in self._open]
+        self._run()
 
     def _flushed(self) -> None:
         self._flush = None
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -20,6 +20,11 @@
     """Monotonic microseconds and one-shot calls; a fake one serves the tests."""
 
     def now_us(self) -> int: ...
+    @property
+    def polled_us(self) -> int:
+        """What had come to any socket by then was found and handled, but what lies behind it."""
+        ...
+
     def call_later(self, delay_us: int, call: Callable[[], None]) -> Call: ...
 
 
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -189,7 +189,7 @@
         self._paused_at = 0
         self._since = 0  # when the part of a request that is now arriving began, or came to its turn
         self._got = 0  # bytes of its body
-        self._heard = 0  # when the latest byte came
+        self.heard_us = 0  # when the latest byte came
         self._marks: deque[tuple[int, int]] = deque()  # how much had come, and when
         self._stuck_since = 0  # when the client stopped reading, or we began to close
         self.lost = False
@@ -239,7 +239,7 @@
             return
         if self._cut:
             return
-        now = self._heard = self._front.clock.now_us()
+        now = self.heard_us = self._front.clock.now_us()
         if self._parser.between:
             self._since = now
         self._parser.feed(data)
@@ -265,7 +265,7 @@
     @property
     def left(self) -> bool:
         """The client has gone: its end may lie behind much that it sent."""
-        return self.gone(self._paused or self._cut or self._ahead > 0)
+        return self.gone(self._front.clock, self._paused or self._cut or self._ahead > 0)
 
     def _pause(self, on: bool) -> None:
         now = self._front.clock.now_us()
@@ -273,7 +273,7 @@
             self._paused_at = now
         else:
             self._since += now - self._paused_at  # what we make a client wait is not its time
-            self._heard = now
+            self.heard_us = now
         self._paused = on
         (self.link.pauseProducing if on else self.link.resumeProducing)()
 
@@ -591,7 +591,7 @@
         """Until when more of the request that is arriving must come."""
         if self._head is not None:
             # Slowly is well, and so is a pause; silence is not.
-            return min(self._heard, self._since + self._got * 1_000_000 // BODY_RATE) + BODY_US
+            return min(self.heard_us, self._since + self._got * 1_000_000 // BODY_RATE) + BODY_US
         # A first request that trickles in is owed its error by the time that a silent one is.
         return (self._since if self.asked else self.opened_at) + HEAD_US
 
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -137,7 +137,7 @@
     @property
     def left(self) -> bool:
         """The client has gone: it is not read while it does not read."""
-        return self.gone(self._full)
+        return self.gone(self._front.clock, self._full)
 
     def connectionMade(self) -> None:
         self._since = self._front.clock.now_us()
@@ -169,6 +169,7 @@
     def dataReceived(self, data: bytes) -> None:
         if self._closing or self.lost:
             return
+        self.heard_us = self._front.clock.now_us()
         self._reader.feed(data)
         try:
             for pdu in self._reader.pdus():
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -14,6 +14,9 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
+from .core.ports import Clock
+
+LOOK_US = 40_000  # a look at the sockets that is older is taken again, at the one that matters
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -21,14 +24,18 @@
     """A protocol whose transport is read as ``link``: Twisted's zope interfaces say nothing to mypy."""
 
     lost = False
+    heard_us = 0  # when the latest bytes came, where that is kept
 
     @property
     def link(self) -> Any:
         return self.transport
 
-    def gone(self, behind: bool) -> bool:
-        """The other side has gone.  Reading tells so; where its end may lie behind what is not read, the
-        socket is asked."""
+    def gone(self, clock: Clock, behind: bool) -> bool:
+        """The other side has gone.  Reading tells so; the socket is asked where its end may lie behind what
+        is not read, say what came in the latest look itself, or where that look was long ago, as the loop
+        is busy with others."""
+        polled = clock.polled_us
+        behind = behind or self.heard_us >= polled or clock.now_us() - polled > LOOK_US
         if not self.lost and behind and hung_up(self.link):
             self.link.abortConnection()
             return True
--- a/tests/test_rare_clients.py
+++ b/tests/test_rare_clients.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from gaugesail import net
+from gaugesail.core.engine import _DEADLINE
+
 from .turned import End, HeldDials, Turned, turned
 
 Way = Callable[[Turned, End], None]
@@ -259,3 +262,177 @@
         rig.pass_time(1.0)
         assert rig.head.engine.open_requests <= 4
         assert rig.head.front.connections <= 4
+
+
+def warm(rig: Turned, connections: int) -> None:
+    """So many connections to the first brick have rested and can be used at once."""
+    names = [f"warm{n}" for n in range(connections)]
+    for name in names:
+        rig.client().send(rig.ask(name))
+    for name in names:
+        rig.bricks[0].request(name)
+    for name in names:
+        rig.bricks[0].answer(name)
+    rig.pass_time(0.05)
+
+
+def with_its_end(rig: Turned, client: End, way: Way) -> None:
+    """Its request and its end are in the kernel when the head looks."""
+    client.send(rig.ask("left"))
+    way(rig, client)
+
+
+AT_ONCE = pytest.mark.parametrize("way", [fin, half, rst], ids=lambda way: way.__name__)
+
+
+@AT_ONCE
+def test_found_with_its_end_in_the_turn_of_an_outcome(way: Way) -> None:
+    """The outcome makes the module's next turn due: the request waits for a look of its own all the same."""
+    with turned() as rig:
+        warm(rig, 2)
+        brick, client = rig.bricks[0], rig.client()
+        rig.client().send(rig.ask("first"))
+        brick.request("first")
+        rig.turn(2)
+        brick.answer("first")
+        with_its_end(rig, client, way)
+        rig.pass_time(0.3)
+        assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_found_with_its_end_as_a_deadline_runs_the_module(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 2)
+        client, engine = rig.client(), rig.head.engine
+        rig.turn(2)
+        with_its_end(rig, client, way)
+        rig.turn()
+        engine._at(rig.clock.now_us() + 1, _DEADLINE, 0)  # as of a request that has its answer
+        rig.leap(0.001)
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+
+
+@AT_ONCE
+def test_found_with_its_end_as_a_list_runs_the_module(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 1)
+        client = rig.client()
+        rig.turn(2)
+        with_its_end(rig, client, way)
+        rig.watch.send(rig.told(False, rig.bricks, 2))
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+
+
+@AT_ONCE
+def test_found_with_its_end_behind_a_further_request_as_its_slot_is_free(way: Way) -> None:
+    with turned() as rig:
+        fill(rig)
+        brick, client = rig.bricks[0], rig.client()
+        client.send(rig.ask("left"))
+        rig.pass_time(0.01)
+        brick.answer("fill0")
+        client.send(rig.ask("behind"))
+        way(rig, client)
+        rig.turn()
+        rig.leap(0.006)  # the connection has rested
+        rig.pass_time(0.3)
+        assert not brick.saw("left")
+
+
+def step(rig: Turned, turns: int) -> None:
+    """Turns that take a little time each."""
+    for _ in range(turns):
+        rig.turn()
+        rig.leap(0.001)
+
+
+def test_a_request_whose_client_stays_costs_no_call_to_the_system(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The look that it waits for serves all: no socket is asked for one request alone."""
+    asked: list[Any] = []
+    plain = net.hung_up
+    monkeypatch.setattr(net, "hung_up", lambda link: (asked.append(link), plain(link))[1])  # type: ignore[func-returns-value]
+    with turned() as rig:
+        warm(rig, 3)
+        brick, clients = rig.bricks[0], [rig.client() for _ in range(3)]
+        for n in range(30):
+            clients[n % 3].send(rig.ask(f"stays{n}"))
+            brick.request(f"stays{n}")
+            brick.answer(f"stays{n}")
+            clients[n % 3].take(b"\r\n\r\nok")
+        assert not asked
+
+
+def busy_as(rig: Turned, neighbour: End, meanwhile: Callable[[], None]) -> None:
+    """The loop handles what this neighbour sent for 0.15 s; what comes meanwhile is in the kernel alone."""
+    port = neighbour.sock.getsockname()[1]
+    connection = next(c for c in rig.head.front._open if c.link.getPeer().port == port)
+    handle = connection.dataReceived
+
+    def slowly(data: bytes) -> None:
+        connection.dataReceived = handle
+        meanwhile()
+        rig.leap(0.15)
+        handle(data)
+
+    connection.dataReceived = slowly
+    neighbour.send(b"GET /_health HTTP/1.1\r\n")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_slot_is_free(way: Way) -> None:
+    with turned() as rig:
+        fill(rig)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        client.send(rig.ask("left"))
+        rig.pass_time(0.01)
+        brick.answer("fill0")
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(0.3)
+        assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_further_attempt(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 2)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        client.send(rig.ask("left"))
+        end = brick.request("left")
+        end.text = b""
+        end.send(b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+        rig.turn(3)
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(1.0)
+        assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_connection_is_up(way: Way) -> None:
+    with turned() as rig:
+        client, neighbour = rig.client(), rig.client()
+        rig.turn(2)
+        client.send(rig.ask("left"))
+        step(rig, 3)
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_shard_is_back(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        rig.watch.send(rig.drain(brick, 2))
+        rig.turn(3)
+        client.send(rig.ask("left"))
+        step(rig, 3)
+        brick.phase = "Ready"
+        rig.watch.send(rig.told(False, [brick], 3))
+        step(rig, 1)
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(0.4)
+        assert not brick.saw("left")
