--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -265,7 +265,7 @@
     @property
     def left(self) -> bool:
         """The client has gone: its end may lie behind much that it sent."""
-        return self.gone(self._front.clock, self._paused or self._cut or self._ahead > 0)
+        return self.gone(self._paused or self._cut or self._ahead > 0 or self.stale(self._front.clock))
 
     def _pause(self, on: bool) -> None:
         now = self._front.clock.now_us()
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -14,7 +14,7 @@
 
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.ports import Attempt, AttemptSink, Call, Clock, Logger, Order, Reactor, Source
-from ..net import Connection, abort, dial
+from ..net import Connection, abort, dial, send_now
 from .operator import NodeLine
 from .pdu import (
     FINAL,
@@ -186,7 +186,11 @@
 
     def _write(self, opcode: Op, flags: int, itt: int, words: dict[int, int], **more: Any) -> None:
         cdb = more.pop("cdb", b"")
-        self.link.write(Pdu(opcode, flags, itt, rest=fields(words, cdb), **more).encode())
+        pdu = Pdu(opcode, flags, itt, rest=fields(words, cdb), **more).encode()
+        if opcode == Op.COMMAND:
+            send_now(self.link, pdu)  # the last look was just now
+        else:
+            self.link.write(pdu)
 
     def start(self, job: _Job) -> None:
         job.itt = self._next_itt
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -16,7 +16,7 @@
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order, Source
 from ..door import Door
-from ..net import Connection
+from ..net import Connection, unread
 from .operator import Extent, Operator, Unit
 from .pdu import (
     FINAL,
@@ -43,6 +43,7 @@
 LOGIN_US = 2_500_000  # how long a login may take, and a PDU to arrive
 SILENT_US = 250_000  # a session that has not logged in may be closed for another after this long
 SLOW_READER_US = 10_000_000
+MOST_READS = 4  # ahead of a session's turn
 ILLEGAL, ABORTED, HARDWARE = 0x05, 0x0B, 0x04
 NO_UNIT, BAD_OPERATION, BAD_RANGE, BAD_CDB = (0x25, 0), (0x20, 0), (0x21, 0), (0x24, 0)
 TIMED_OUT, NODE_FAILED, DATA_PHASE = (0x08, 0x01), (0x44, 0), (0x4B, 0)
@@ -102,7 +103,7 @@
         self.connection.end(self, Status.BUSY)
 
     def left(self) -> bool:
-        return self.connection.left
+        return self.connection.left or self.done
 
     def failed(self, reason: str) -> None:
         code = TIMED_OUT if reason == "out of time" else NODE_FAILED
@@ -136,8 +137,19 @@
 
     @property
     def left(self) -> bool:
-        """The client has gone: it is not read while it does not read."""
-        return self.gone(self._front.clock, self._full)
+        """The client has gone, by what has come of it: it is not read while it does not read, nor as the loop
+        is busy with others."""
+        if self._full or self.stale(self._front.clock):
+            if self.gone(True):
+                return True
+            self._read_on()
+        return self.lost
+
+    def _read_on(self) -> None:
+        """Read what has come, ahead of its turn: an abort of the task in question may be among it."""
+        for _ in range(MOST_READS):
+            if self.lost or self._closing or not unread(self.link) or self.link.doRead() is not None:
+                break  # the end of the connection is found again in its turn
 
     def connectionMade(self) -> None:
         self._since = self._front.clock.now_us()
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -30,12 +30,15 @@
     def link(self) -> Any:
         return self.transport
 
-    def gone(self, clock: Clock, behind: bool) -> bool:
-        """The other side has gone.  Reading tells so; the socket is asked where its end may lie behind what
-        is not read, say what came in the latest look itself, or where that look was long ago, as the loop
-        is busy with others."""
+    def stale(self, clock: Clock) -> bool:
+        """What it has sent may lie unread: something came in the latest look itself, so that more may be
+        behind, or that look was long ago, as the loop is busy with others."""
         polled = clock.polled_us
-        behind = behind or self.heard_us >= polled or clock.now_us() - polled > LOOK_US
+        return self.heard_us >= polled or clock.now_us() - polled > LOOK_US
+
+    def gone(self, behind: bool) -> bool:
+        """The other side has gone.  Reading tells so; where its end may lie behind what is not read, the
+        socket is asked."""
         if not self.lost and behind and hung_up(self.link):
             self.link.abortConnection()
             return True
@@ -96,6 +99,23 @@
     return next((found for _, found in look.poll(0)), 0)
 
 
+def send_now(link: Any, data: bytes) -> bool:
+    """Write, and send at once as much as the system takes; whether that is all.
+
+    Twisted sends at the end of a turn, which may last: what was looked at before the first byte, that its
+    client is there, say, would be old by then.  Where something has come unread, the other side's end, say,
+    that is read first, as Twisted would.
+    """
+    connection = getattr(link, "socket", None)
+    plain = isinstance(connection, socket.socket) and not (link.dataBuffer or link._tempDataLen)
+    if connection is not None and plain and not unread(link):
+        with suppress(OSError):  # full, or broken: what is left is written the usual way, which tells
+            data = data[connection.send(data) :]
+    if data:
+        link.write(data)
+    return not data
+
+
 def abort(link: Any) -> None:
     """End a connection in this call: Twisted closes it a turn later, and what is written before that, to
     another node, say, would be beside what this one carries."""
--- a/tests/test_rare_iscsi.py
+++ b/tests/test_rare_iscsi.py
@@ -13,6 +13,7 @@
 from gaugesail.iscsi.app import IscsiHead
 from gaugesail.iscsi.operator import read_operator
 from gaugesail.logs import make_logger
+from gaugesail.net import unread
 from gaugesail.rehearsal.iscsi_peers import IscsiClient, IscsiNode, operator_file
 from marllift.interface import Result
 
@@ -112,6 +113,101 @@
         assert "lba=99" not in rig.saw() and len(rig.saw()) == 4
 
 
+def push(peer: Any) -> None:
+    """What it has written is in the head's kernel when this returns."""
+    peer.link.setTcpNoDelay(True)  # else it waits for the answer to what was sent before
+    peer.link.doWrite()
+
+
+def aborts(rig: Rig, client: IscsiClient) -> None:
+    client.send(["abort", "9"])
+    push(client._connection)
+
+
+def logs_out(rig: Rig, client: IscsiClient) -> None:
+    client.send(["logout"])
+    push(client._connection)
+
+
+def busy_as(rig: Rig, neighbour: IscsiClient, meanwhile: Callable[[], None]) -> None:
+    """The loop handles what this neighbour sent for 0.15 s; what comes meanwhile is in the kernel alone."""
+    port = link(neighbour).getHost().port
+    session = next(session for session in rig.head.front._open if session.link.getPeer().port == port)
+    handle = session.dataReceived
+
+    def slowly(data: bytes) -> None:
+        session.dataReceived = handle
+        meanwhile()
+        rig.leap(0.15)
+        handle(data)
+
+    session.dataReceived = slowly
+    neighbour.send(["nop", "x"])
+    push(neighbour._connection)
+
+
+def free_now(rig: Rig) -> None:
+    rig.free()
+    for connection in rig.node.open:
+        push(connection)
+
+
+CANCELS = pytest.mark.parametrize("way", [half, aborts, logs_out], ids=lambda way: way.__name__)
+
+
+@CANCELS
+def test_cancelled_as_the_loop_is_busy_with_another(way: Callable[[Rig, IscsiClient], None]) -> None:
+    with rigged() as rig:
+        rig.fill()
+        client, neighbour = rig.client(), rig.client()
+        client.send(["read", "tag=9", "lba=99"])
+        rig.pass_time(0.05)
+        free_now(rig)
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(0.3)
+        assert "lba=99" not in rig.saw() and len(rig.saw()) == 4
+
+
+@CANCELS
+def test_cancelled_as_the_loop_is_busy_between_the_last_look_and_the_first_byte(
+    way: Callable[[Rig, IscsiClient], None],
+) -> None:
+    with rigged() as rig:
+        rig.fill()
+        rig.free()
+        rig.pass_time(0.1)
+        client, neighbour = rig.client(), rig.client()
+        client.send(["read", "tag=9", "lba=99"])
+        push(client._connection)
+        for _ in range(2):
+            rig.turn()
+            rig.leap(0.001)
+        came: list[bool] = []
+
+        def leave() -> None:
+            came.append(bool(unread(rig.node.open[0].link)))
+            way(rig, client)
+
+        busy_as(rig, neighbour, leave)
+        rig.pass_time(0.3)
+        assert came and came[0] == ("lba=99" in rig.saw())
+
+
+@CANCELS
+def test_cancelled_by_one_that_does_not_read(way: Callable[[Rig, IscsiClient], None]) -> None:
+    """It is not read meanwhile, so that what it says last is in the kernel for long."""
+    with rigged() as rig:
+        rig.fill()
+        client = rig.client()
+        client.send(["read", "tag=9", "lba=99"])
+        rig.pass_time(0.05)
+        paused(way)(rig, client)
+        rig.pass_time(BOUND_S)
+        rig.free()
+        rig.pass_time(0.3)
+        assert "lba=99" not in rig.saw() and len(rig.saw()) == 4
+
+
 def test_a_command_that_waits_for_a_client_that_stays_is_sent_on() -> None:
     with rigged() as rig:
         rig.fill()
