A request leaves in the call that looked for its client, not at the end of the turn

BrickConnection.start and release (http/bricks.py 256, 268) wrote to Twisted's buffer, which is sent in the I/O of the turn, behind all that other clients had sent before: where that takes 0.15 s, an attempt began so long after the last look at its client, and after the client's close.

net.send_now sends at once what the system takes. Where something has come unread on the node's connection (its end, a second answer) nothing is sent, and that is read first, as before. In place of two changes of the epoll set and a send a request now costs one poll and a send.

--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -15,7 +15,7 @@
 
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.ports import Attempt, AttemptSink, Call, Clock, Logger, Order, Reactor, Sink, Source
-from ..net import Connection, abort, attach, dial
+from ..net import Connection, abort, attach, dial, send_now
 from .parser import WHOLE_BODY, BadMessage, Data, Head, Parser
 
 IDLE_SHARE = 0.6  # of the time after which the other side closes; a request written then would be reset
@@ -243,8 +243,7 @@
 
     def start(self, job: _Job, request: bytes) -> None:
         self._take(job)
-        self.link.write(request)
-        self._watch()
+        self._send(request)
 
     def stage(self, job: _Job, head: bytes, staged: Staged) -> None:
         """A large request comes bit by bit; its writer hears how the brick reads."""
@@ -257,8 +256,7 @@
         self.link.unregisterProducer()
         self._take(job)
         self._idled_us = 0
-        self.link.write(end)
-        self._watch()
+        self._send(end)
 
     def unstage(self) -> None:
         """A large request that has no attempt yet is not to get one here."""
@@ -273,10 +271,12 @@
         if job.attempt is not None:
             job.attempt.connection = self
 
-    def _watch(self) -> None:
-        """The pull producer hears when the last byte has left our buffer."""
-        self._first_pull = True
-        self.link.registerProducer(self, False)
+    def _send(self, last: bytes) -> None:
+        """The end of a request.  Where it does not leave at once, a pull producer hears when it has."""
+        self.written = send_now(self.link, last)
+        if not self.written:
+            self._first_pull = True
+            self.link.registerProducer(self, False)
 
     def resumeProducing(self) -> None:
         if self._first_pull:
--- a/tests/test_rare_clients.py
+++ b/tests/test_rare_clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -436,3 +437,77 @@
         busy_as(rig, neighbour, lambda: way(rig, client))
         rig.pass_time(0.4)
         assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_between_the_last_look_and_the_first_byte(way: Way) -> None:
+    """What the look found is true of the bytes only if these leave at once, not at the end of a long turn."""
+    with turned() as rig:
+        warm(rig, 2)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        rig.turn(2)
+        client.send(rig.ask("left"))
+        step(rig, 2)
+        seen: list[int] = []
+
+        def leave() -> None:
+            seen.append(brick.saw("left"))
+            way(rig, client)
+
+        busy_as(rig, neighbour, leave)
+        rig.pass_time(0.3)
+        assert seen and brick.saw("left") == seen[0]
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_the_end_of_its_large_body(way: Way) -> None:
+    """It is with its brick, all but the end, and waits for a slot."""
+    with turned() as rig:
+        fill(rig)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        body = b"b" * 200_000
+        client.send(rig.ask("large", "write", body=body))
+        assert rig.until(lambda: brick.look().count(b"b") >= 199_999)
+        rig.pass_time(0.05)
+        brick.answer("fill0")
+        seen: list[int] = []
+
+        def leave() -> None:
+            seen.append(brick.look().count(b"b"))
+            way(rig, client)
+
+        rig.turn()
+        busy_as(rig, neighbour, leave)
+        rig.pass_time(0.3)
+        assert seen and brick.look().count(b"b") == seen[0]
+
+
+@pytest.mark.parametrize("end", [fin, rst], ids=lambda end: end.__name__)
+def test_what_leaves_at_once_is_not_sent_into_a_connection_that_its_brick_has_closed(end: Way) -> None:
+    """The brick's end is in the kernel as the connection is taken: it is read first, and nothing was sent."""
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client = rig.bricks[0], rig.client()
+        rig.turn(2)
+        client.send(rig.ask("stays", "write", body=b"b"))
+        step(rig, 2)
+        end(rig, brick.ends[0])
+        rig.pass_time(0.1)
+        assert brick.saw("stays") == 1 and not rig.head.engine.counts["attempt_reset"]
+        brick.answer("stays")
+        client.take(b"\r\n\r\nok")
+
+
+def test_a_request_larger_than_the_system_takes_at_once_comes_whole() -> None:
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client, body = rig.bricks[0], rig.client(), bytes(range(256)) * 255
+        brick.ends[0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        inside = next(iter(next(iter(rig.head.transport._bricks.values())).idle))
+        inside.link.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(rig.ask("large", "write", body=body))
+        rig.pass_time(0.02)
+        assert not inside.written, "all has left at once: the test forces nothing"
+        assert rig.until(lambda: body in brick.look()) and rig.until(lambda: inside.written)
+        brick.answer("large")
+        client.take(b"\r\n\r\nok")
