--- a/tests/test_rare_clients.py
+++ b/tests/test_rare_clients.py
@@ -4,14 +4,16 @@
 
 import socket
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import pytest
 
 from gaugesail import net
 from gaugesail.core.engine import _DEADLINE
+from gaugesail.http import bricks
 
-from .turned import End, HeldDials, Turned, turned
+from .turned import STEP_S, Busy, End, HeldDials, Turned, chunk, turned
 
 Way = Callable[[Turned, End], None]
 BOUND_S = 0.3  # the outer bound of the operators
@@ -511,3 +513,66 @@
         assert rig.until(lambda: body in brick.look()) and rig.until(lambda: inside.written)
         brick.answer("large")
         client.take(b"\r\n\r\nok")
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize("sockets", ["1024", "72"])
+def test_under_load_no_attempt_begins_long_after_its_client_has_left(
+    sockets: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A flood of clients, of which many leave, and some that send megabytes, with places for all or not.
+    Turns of the loop last far longer than the bound; a close counts from the latest look before it."""
+    rig, longest = Busy(0.25, limits__sockets=sockets).start(), [0.0]
+    began: dict[str, int] = {}
+    left: dict[str, int] = {}
+    calm: dict[str, End] = {}
+    plain, flood = net.send_now, 40
+    health, chance = b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n" * 1700, Random(3)
+
+    def sent(link: Any, data: bytes) -> bool:
+        whole, name = plain(link, data), data.partition(b"Request-Id: ")[2].partition(b"\r\n")[0].decode()
+        began.setdefault(name, rig.clock.now_us())
+        return whole
+
+    monkeypatch.setattr(bricks, "send_now", sent)
+    loud, served, number = [rig.client() for _ in range(4)], 0, 0
+    try:
+        until = rig.now + 8.0
+        while rig.now < until:
+            while len(calm) < flood:
+                number += 1
+                calm[f"r{number}"] = client = rig.client()
+                client.send(rig.ask(f"r{number}"))
+            start = rig.now
+            rig.turn()
+            longest.append(rig.now - start)
+            rig.now += STEP_S
+            if not rig.watch.gone() and len(longest) % 5 == 0:
+                rig.watch.send(chunk(b"\n"))
+            rig.bricks[0].look()
+            for end in rig.bricks[0].ends:
+                if end.text and not end.ended:
+                    end.text = b""
+                    end.cram(OK)
+            for client in loud:
+                client.read()
+                client.text = b""
+                if not client.ended:
+                    client.cram(health)
+            for name, client in list(calm.items()):
+                if client.gone() or client.text:
+                    served += b" 200 " in client.text
+                    del calm[name]
+                elif chance.random() < 0.1:
+                    if name not in began:
+                        left[name] = rig.clock.polled_us
+                    chance.choice([client.fin, client.rst])()
+                    del calm[name]
+    finally:
+        rig.close()
+    late = max([began[name] - at for name, at in left.items() if name in began], default=0)
+    print(f"turns up to {max(longest):.3f} s, {len(left)} left, {served} served, {late / 1e6:.3f} s at most")
+    assert max(longest) > 0.1 and len(left) > 30 and served > 5, "too little load: nothing is forced"
+    assert late < 100_000
