Divide the descriptors that the system gives, not those that the head was told

Where the process may open fewer descriptors than limits.sockets says, idle clients took all of them: discovery's dial failed with EMFILE for as long as they stayed (ConnectBindError, seen for 8 s, then the test ended), and at the best it was found again 2.3 and 4.4 s after its return, as silent clients and half heads ran out. config.Limits took the figure as it was told (config.py 164), and so did the iSCSI-style operator's file (iscsi/operator.py 232). net.descriptors takes the lesser of it and RLIMIT_NOFILE, before the door opens; the limit itself is left as it is.

Ruled out: where both figures agree nothing was wrong: 11 descriptors are in use at the start of the 24 kept back; clients over their part are shed, idle ones first, and accept is held (bound_accepts).

--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -14,6 +14,7 @@
 
 from .http.discovery import BadList, split_address
 from .http.management import MOST_CALLS
+from .net import descriptors
 
 # Standard streams, the reactor's own, the listeners, discovery, and what is closing or still connecting.
 RESERVE = 24
@@ -161,7 +162,7 @@
             seed=int(str(data.get("seed", "0")), 16),
             limits=Limits(
                 int(limits.get("memory_mb", 192)),
-                int(limits.get("sockets", 1024)),
+                descriptors(int(limits.get("sockets", 1024))),
                 MOST_CALLS if management else 0,
             ),
             # On this wire an agent that lists are pushed to is watched like discovery itself.
--- a/gaugesail/iscsi/operator.py
+++ b/gaugesail/iscsi/operator.py
@@ -13,6 +13,7 @@
 from marllift import interface as api
 
 from ..http.discovery import MODES, BadList, split_address
+from ..net import descriptors
 
 TUNABLE = {item.name: item.type for item in fields(api.Settings) if item.name not in ("classes", "plans")}
 
@@ -229,7 +230,7 @@
         _units(data, {plan.name: n for n, plan in enumerate(settings.plans)}),
         _nodes(data),
         _whole(limits, "connect_timeout_ms", 1, 60_000, 250) * 1000,
-        _whole(limits, "sockets", 16, 1 << 20, 1024),
+        descriptors(_whole(limits, "sockets", 16, 1 << 20, 1024)),
         _whole(limits, "memory_mb", 32, 1 << 20, 192),
         _whole(target, "seed", 0, 1 << 62, 0),
         _table(target, "folder", str, "") or environ.get("TMPDIR") or None,
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import select
 import socket
 import struct
@@ -55,6 +56,12 @@
         return self._build()
 
 
+def descriptors(told: int) -> int:
+    """How many descriptors this process may have: as it was told, but no more than the system gives."""
+    given, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if given == resource.RLIM_INFINITY else min(told, given)
+
+
 def bound_accepts(port: Any, room: Callable[[], int]) -> None:
     """Let a listening port accept no more at once than there is room for.
 
