A caller's connection that goes for another is counted once

ManagementFront.opened (http/management.py 97) ended the oldest call over 16, but left it in its book until it was closed, a turn later. Several that came in one turn all ended that same one: of 40 silent callers 34 stayed, and a few hundred took every descriptor of the process, discovery's and the operators' own too.

Test: callers_that_say_nothing, 240 of them at a process with 96 descriptors: before, the call after them was reset; now at most 16 (and one) stay.

--- a/gaugesail/http/management.py
+++ b/gaugesail/http/management.py
@@ -105,7 +105,8 @@
         self._open[connection] = None
         if len(self._open) > MOST_CALLS:
             # Callers that say nothing must not keep one out that asks at once: the oldest goes.
-            next(iter(self._open)).link.abortConnection()
+            # It counts no more: its descriptor is closed a turn later, and until then others come.
+            self._open.popitem(last=False)[0].link.abortConnection()
 
     def closed(self, connection: CallConnection) -> None:
         self._open.pop(connection, None)
--- a/tests/test_rare_descriptors.py
+++ b/tests/test_rare_descriptors.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from gaugesail.http.management import MOST_CALLS
 from gaugesail.rehearsal import defaults
 
 from .turned import HEAD, Turned, chunk
@@ -179,3 +180,19 @@
         assert head.descriptors <= 96 and head.child.poll() is None
         assert took < AGAIN_S + 0.3, f"discovery was back for {took:.2f} s"
         assert "Traceback" not in head.said() and "callback_raised" not in head.said()
+
+
+def test_callers_that_say_nothing_take_no_more_descriptors_than_are_theirs(tmp_path: Path) -> None:
+    """Many come in one turn: for each that is too many another one goes."""
+    with process(tmp_path, 96, 96) as head:
+        base = head.descriptors
+        head.fill(60, b"")
+        most = 0
+        for _ in range(20):
+            for _ in range(12):
+                head.client(head.calls)
+            most = max(most, head.descriptors)
+        assert b"200 OK" in head.call("/healthcheck")
+        time.sleep(0.3)
+        assert most < 96, "not even discovery can be dialled"
+        assert head.descriptors <= base + 38 + MOST_CALLS + 1
