Test a head with no descriptor left: it answers what it has and goes on

RLIMIT_NOFILE is lowered to what is open: accept, a dial and the reading of a file fail. A request out on a node and one on a connection used again are served, one that needs a dial is refused, SIGHUP keeps the file in force, and with descriptors back discovery and a node are dialled again.

--- a/tests/test_rare_descriptors.py
+++ b/tests/test_rare_descriptors.py
@@ -6,6 +6,7 @@
 import os
 import re
 import resource
+import signal
 import socket
 import subprocess
 import sys
@@ -196,3 +197,34 @@
         time.sleep(0.3)
         assert most < 96, "not even discovery can be dialled"
         assert head.descriptors <= base + 38 + MOST_CALLS + 1
+
+
+def test_a_head_with_no_descriptor_left_answers_what_it_has_and_goes_on(tmp_path: Path) -> None:
+    """The system gives less than before, at any call: accept, a dial, a file."""
+    with process(tmp_path, 96, 96) as head:
+        kept = [head.client() for _ in range(4)]
+        for client in kept:
+            client.sendall(HEALTH)
+            assert read_to(client, b"ok").endswith(b"ok")
+        kept[0].sendall(Turned.ask("warm", shard=1))
+        assert until(head.bricks[1].taken, 3.0), head.said()
+        brick = head.bricks[1].ends[0]
+        read_to(brick, b"\r\n\r\n")
+        resource.prlimit(head.child.pid, resource.RLIMIT_NOFILE, (head.descriptors, 96))
+        head.fill(20, HEALTH)
+        kept[1].sendall(Turned.ask("dialled", shard=0))
+        assert b" 503 " in read_to(kept[1], b"\r\n\r\n")
+        brick.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assert read_to(kept[0], b"\r\n\r\nok").startswith(b"HTTP/1.1 200 ")
+        kept[2].sendall(Turned.ask("used again", shard=1))
+        assert b"Request-Id: used again\r\n" in read_to(brick, b"\r\n\r\n")
+        brick.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assert read_to(kept[2], b"\r\n\r\nok").startswith(b"HTTP/1.1 200 ")
+        head.child.send_signal(signal.SIGHUP)  # the file cannot be read: the one in force stays
+        assert until(lambda: "bad_configuration" in head.said(), 2.0)
+        resource.prlimit(head.child.pid, resource.RLIMIT_NOFILE, (96, 96))
+        head.list.open()
+        assert until(head.list.taken, 3.0), head.said()
+        kept[3].sendall(Turned.ask("again", shard=0))
+        assert until(head.bricks[0].taken, 3.0), head.said()
+        assert b"200 OK" in head.call("/healthcheck") and head.child.poll() is None
