Second front: hold accepting where all places are in use, as the first does

TargetFront never held its port: bound_accepts lets at least one through a turn, so that silent connections came without bound (151 at once with 96 descriptors), each kept for up to 2.5 s, until nothing could be dialled.

Tests: silent_and_idle_sessions seen to fail before; a_flood_of_silent_sessions holds that nobody is kept out for long, and passed before too.

--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -41,6 +41,7 @@
 WINDOW = 32  # commands a session may have in flight
 MAX_TRANSFER = 256 * 1024  # with WINDOW it bounds what one slow client can make us hold
 LOGIN_US = 2_500_000  # how long a login may take, and a PDU to arrive
+OVERFLOW = 8  # sessions beyond all places, told so at their login; what else comes waits in the kernel
 SILENT_US = 250_000  # a session that has not logged in may be closed for another after this long
 SLOW_READER_US = 10_000_000
 MOST_READS = 4  # ahead of a session's turn
@@ -596,13 +597,15 @@
 
     def limit(self, connections: int) -> None:
         self._max = connections
+        if self.held and self.room > 0:
+            self.hold(False)
 
     def sendable(self) -> list[TargetConnection]:
         return [session for session in self._open if session.idle]
 
     @property
     def room(self) -> int:
-        return self._max + 8 - len(self._open)
+        return self._max + OVERFLOW - len(self._open)
 
     def next_name(self) -> str:
         self._names += 1
@@ -623,16 +626,24 @@
                 silent.close()
             else:
                 connection.unwelcome = True  # told so at its login
+        if self.room <= 0 and self.port is not None and not self.held:
+            self.hold(True)
 
     def closed(self, connection: TargetConnection) -> None:
         self._open.pop(connection, None)
+        if self.held and self.room > 0:
+            self.hold(False)
         if self.closing and not self._open:
             self.on_idle()
 
     def sweep(self) -> None:
         now = self.clock.now_us()
+        over = len(self._open) - self._max
         for connection in list(self._open):
             connection.sweep(now)
+            if over > 0 and connection.silent(now):  # none may come any more that would make it go
+                connection.close()
+                over -= 1
             if self.closing and connection.idle:
                 connection.close()
 
--- a/tests/test_rare_iscsi.py
+++ b/tests/test_rare_iscsi.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from gaugesail.http.management import MOST_CALLS
 from gaugesail.iscsi.app import IscsiHead
 from gaugesail.iscsi.operator import read_operator
 from gaugesail.logs import make_logger
@@ -23,10 +24,12 @@
 
 
 class Rig(Turning):
-    def __init__(self) -> None:
+    def __init__(self, **changes: str) -> None:
         super().__init__()
         self.node = IscsiNode(self.reactor, "n1", 0)
-        config = operator_file([self.node], {})
+        config = operator_file(
+            [self.node], {path.replace("__", "."): value for path, value in changes.items()}
+        )
         self.head = IscsiHead(self.reactor, read_operator(config, {}), make_logger(self.log), self.clock)
         self.head.start()
         self.turn(3)
@@ -54,8 +57,8 @@
 
 
 @contextmanager
-def rigged() -> Iterator[Rig]:
-    rig = Rig()
+def rigged(**changes: str) -> Iterator[Rig]:
+    rig = Rig(**changes)
     try:
         yield rig
     finally:
@@ -236,3 +239,46 @@
         except ConnectionError:
             ended = True
         assert ended, "its connection is still open when the call returns"
+
+
+IN_USE = 11  # descriptors of a process that has just started (test_rare_descriptors)
+
+
+def test_silent_and_idle_sessions_leave_what_nodes_and_operators_need() -> None:
+    with rigged(limits__sockets="96") as rig:
+        used = rig.client()  # logged in before the flood: it has its place
+        front, raw, most = rig.head.front, list[socket.socket](), 0
+        try:
+            for _ in range(150):
+                raw.append(socket.create_connection(rig.head.address))
+                rig.turn()
+                most = max(most, front.connections)
+            rig.pass_time(1.0)
+            assert IN_USE + most + MOST_CALLS + 4 + len(rig.node.open) < 96, f"{most} connections at once"
+            used.send(["read", "tag=9", "lba=99"])
+            assert rig.until(lambda: "lba=99" in rig.saw())
+            for end in raw:  # who comes when the flood is over finds a place
+                end.close()
+            rig.pass_time(0.5)
+            rig.client()
+        finally:
+            for end in raw:
+                end.close()
+
+
+def test_a_flood_of_silent_sessions_keeps_nobody_out_for_long() -> None:
+    with rigged(limits__sockets="96") as rig:
+        raw = [socket.create_connection(rig.head.address) for _ in range(90)]
+        try:
+            rig.pass_time(0.01)
+            until, told = rig.now + 4.0, ""
+            while told != "0x0000" and rig.now < until:  # told to come back later, it does
+                client = IscsiClient(rig.reactor, "c", lambda: rig.head.address)
+                client.send(["login"])
+                assert rig.until(lambda: bool(client.inbox), 3.0)  # noqa: B023
+                told = client.inbox.popleft()[1]
+                rig.pass_time(0.25)
+            assert told == "0x0000"
+        finally:
+            for end in raw:
+                end.close()
