--- a/tests/test_rare_clients.py
+++ b/tests/test_rare_clients.py
@@ -515,6 +515,31 @@
         client.take(b"\r\n\r\nok")
 
 
+@AT_ONCE
+def test_leaves_as_many_are_sent_in_one_turn_of_the_module(way: Way, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the module says at once is carried out one by one: each has its own last look."""
+    with turned() as rig:
+        warm(rig, 4)
+        brick, clients, sent = rig.bricks[0], [rig.client() for _ in range(3)], list[bytes]()
+        rig.turn(2)
+        plain = net.send_now
+
+        def slowly(link: Any, data: bytes) -> bool:
+            whole = plain(link, data)
+            sent.append(data)
+            if len(sent) == 1:
+                for client in clients[1:]:
+                    way(rig, client)
+                rig.leap(0.15)
+            return whole
+
+        monkeypatch.setattr(bricks, "send_now", slowly)
+        for n, client in enumerate(clients):
+            client.send(rig.ask(f"many{n}"))
+        rig.pass_time(0.3)
+        assert [brick.saw(f"many{n}") for n in range(3)] == [1, 0, 0] and len(sent) == 1
+
+
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
