--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -620,6 +620,12 @@
             brick.waiting = deque(job for job in brick.waiting if job.attempt is not attempt)
         return False
 
+    def withdraw(self, attempt: Attempt) -> bool:
+        connection = attempt.connection
+        return (
+            isinstance(connection, BrickConnection) and not connection.written and not self.abort(attempt)
+        )
+
     def adopt(self, descriptor: int, told: dict[str, Any], sink: AttemptSink) -> BrickConnection:
         """A connection with a large answer on it, which another process of this head began."""
         node, now = str(told["node"]).encode("latin-1"), self.clock.now_us()
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -384,6 +384,10 @@
             return True
         return False
 
+    def withdraw(self, attempt: Attempt) -> bool:
+        job = attempt.connection
+        return isinstance(job, _Job) and job.sent < len(job.data) and self.abort(attempt)
+
     def stage(self, node: NodeId, order: Order, source: Source) -> None:
         """A command's data is bounded and comes whole before it is taken."""
 
