What is still being written to a node ends with its client

Engine.client_gone (core/engine.py 141) let what was out go on, also where part of it was not written yet: a long request to a node that reads slowly, or a write whose node asks for its data bit by bit. A node counts an attempt from its last byte, so that one began long after its client had left. It is withdrawn now: its connection is aborted, or its task, and it counts as never sent.

Ruled out: what the system has taken whole cannot be taken back, and the node may have begun: that goes on as before.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -136,12 +136,17 @@
         return self._transport.stage(node, order, source)
 
     def client_gone(self, ticket: int) -> None:
-        """The client left; what it has out goes on and reports to the module alone."""
+        """The client left; what it has out goes on and reports to the module alone.
+
+        What is still being written does not: a node counts an attempt from its last byte.
+        """
         entry = self._open.get(ticket)
         if entry is not None:
             self._close(entry)
             self.counts["gone"] += 1
             self._feed(api.ClientGone(ticket))
+            if entry.out is not None:
+                self._withdraw(entry.out)
 
     # ---- from the transport and discovery ----
 
@@ -386,6 +391,15 @@
             self._log.error("abort_raised", error=repr(error))
         self.attempt_ended(attempt, result)
 
+    def _withdraw(self, attempt: Attempt) -> None:
+        try:
+            withdrawn = self._transport.withdraw(attempt)
+        except Exception as error:  # then it goes on
+            self._log.error("withdraw_raised", error=repr(error))
+            return
+        if withdrawn:
+            self.attempt_ended(attempt, Result.MOOT)
+
     def _left(self, entry: _Open) -> bool:
         """Its client has gone: what the front has not read of that yet counts all the same."""
         if entry.ticket in self._open and self._tell(entry, "left"):
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -32,7 +32,7 @@
         self.events: list[api.Event] = []
         self.answers: list[tuple[str, Any]] = []
         self.script: dict[type, list[api.Action]] = {}
-        self.gone = False
+        self.gone = self.unwritten = False
         transport: Any = self
         self.engine = Engine(SETTINGS, 1, self.clock, transport, transport, make_logger(io.StringIO()), 4)
         gateway: Any = self
@@ -52,6 +52,9 @@
     def abort(self, attempt: Attempt) -> None:
         self.aborted.append(attempt)
 
+    def withdraw(self, attempt: Attempt) -> bool:
+        return self.unwritten
+
     def begins(self, source: Any) -> Any:
         self.answers.append(("begins", source))
         return self
@@ -139,6 +142,26 @@
     assert rig.aborted == rig.sent and rig.outcomes() == [Result.CANCELLED]
 
 
+@pytest.mark.parametrize("unwritten", [True, False])
+def test_what_its_client_has_left_ends_if_it_is_not_written_and_goes_on_if_it_is(unwritten: bool) -> None:
+    rig = Rig()
+    ticket = rig.take(api.Send(1, NODE))
+    rig.unwritten = unwritten
+    rig.engine.client_gone(ticket)
+    rig.reactor.advance(0)
+    assert rig.outcomes() == ([Result.MOOT] if unwritten else [])
+    assert rig.engine.attempts_out == (0 if unwritten else 1)
+
+
+def test_a_request_that_ends_before_the_module_has_it_is_never_told() -> None:
+    rig = Rig()
+    rig.script[api.Request] = [api.Send(1, NODE)]
+    ticket = rig.engine.take(Order("a", SETTINGS, 0, 1_000_000, "payload"), rig)
+    rig.engine.client_gone(ticket)
+    rig.reactor.advance(0.01)
+    assert not rig.sent and not any(isinstance(event, api.Request) for event in rig.events)
+
+
 def test_a_module_that_raises_loses_no_request_and_not_the_head() -> None:
     rig = Rig()
     rig.take(api.Log("raise"))
--- a/tests/test_rare_clients.py
+++ b/tests/test_rare_clients.py
@@ -601,3 +601,24 @@
     print(f"turns up to {max(longest):.3f} s, {len(left)} left, {served} served, {late / 1e6:.3f} s at most")
     assert max(longest) > 0.1 and len(left) > 30 and served > 5, "too little load: nothing is forced"
     assert late < 100_000
+
+
+@pytest.mark.parametrize("way", [fin, half, rst], ids=lambda way: way.__name__)
+def test_leaves_while_its_request_is_still_being_written(way: Way) -> None:
+    """A node counts an attempt from its last byte: what is not with it by then does not go on."""
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client, body = rig.bricks[0], rig.client(), b"b" * 65_000
+        brick.ends[0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        inside = next(iter(next(iter(rig.head.transport._bricks.values())).idle))
+        inside.link.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(rig.ask("left", "write", body=body))
+        rig.pass_time(0.02)
+        assert not inside.written, "all has left at once: the test forces nothing"
+        way(rig, client)
+        rig.pass_time(0.1)
+        assert rig.until(lambda: brick.ends[0].gone() or body in brick.look(), 1.0)
+        assert body not in brick.look() and rig.head.engine.counts["attempt_moot"] == 1
+        again = rig.client()  # its id and its slot are free again
+        again.send(rig.ask("left"))
+        brick.request("left")
--- a/tests/test_rare_iscsi.py
+++ b/tests/test_rare_iscsi.py
@@ -196,6 +196,19 @@
         assert came and came[0] == ("lba=99" in rig.saw())
 
 
+@CANCELS
+def test_cancelled_while_its_data_is_still_being_written(way: Callable[[Rig, IscsiClient], None]) -> None:
+    """The node has asked for no more of it yet: it is told to drop the task."""
+    with rigged() as rig:
+        client = rig.client()
+        client.send(["write", "tag=9", "lba=99", "blocks=200"])
+        assert rig.until(lambda: "lba=99" in rig.saw())
+        way(rig, client)
+        rig.pass_time(0.05)
+        assert any(words[0] == "abort" for words in rig.node.inbox)
+        assert rig.head.engine.attempts_out == 0
+
+
 @CANCELS
 def test_cancelled_by_one_that_does_not_read(way: Callable[[Rig, IscsiClient], None]) -> None:
     """It is not read meanwhile, so that what it says last is in the kernel for long."""
