Judge every scenario: each request has its answer in time, each process serves or ends

The rehearsal kit checked only what a scenario's lines say. A request that no line asked about could stay without an answer, and a process that runs on with no listener and no client was seen by nobody; the acceptance counts both now.

A process in memory now takes its connections and calls with it when it ends, and can be killed (`send daemon kill`).

Service._end now ends the process 150 ms after all was answered, unless an answer is being passed on. Ruled out: closing these connections with a linger at _end, which takes up to 1 s, past the SIGKILL too.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -89,6 +89,10 @@
             legacy[1].update(discovery=self.discovery.host, list=self.discovery.latest)
         return legacy
 
+    @property
+    def passing_answers(self) -> bool:
+        return bool(self.front.streams)
+
     def pass_on(self) -> None:
         for client in self.front.streams:
             client.move(self._moved)
--- a/gaugesail/rehearsal/iscsi_peers.py
+++ b/gaugesail/rehearsal/iscsi_peers.py
@@ -12,6 +12,7 @@
 from ..iscsi import pdu as wire
 from ..iscsi.pdu import FINAL, NO_TAG, Op, Pdu, PduReader, fields
 from ..net import Connection, dial
+from .judge import Owed
 from .peers import Listener, Peer, Words, options
 
 TARGET = "iqn.2026-12.ee.example:rehearsed"
@@ -97,14 +98,47 @@
         self._connection: PduConnection | None = None
         self._data: dict[int, bytes] = {}  # read so far
         self._writes: dict[int, bytes] = {}
+        self._owed: dict[int, list[Owed]] = {}  # commands, by their tags
+        self._unsent: dict[int, int] = {}  # bytes of a write that are not sent yet
+        self._aborting = -1
 
     def opened(self, connection: PduConnection) -> None:
         self._connection = connection
 
     def lost(self, connection: PduConnection) -> None:
         self._connection = None
+        self._over("its connection ended")
         self.saw("closed")
 
+    def _over(self, why: str = "") -> None:
+        """Nothing more comes for what was asked: with no reason the client has left, and is owed nothing."""
+        for owed in (owed for same in self._owed.values() for owed in same):
+            if why and self.judge is not None:
+                self.judge.left(owed, why)
+            owed.over = True
+        self._owed.clear()
+
+    def _asked(self, tag: int, unsent: int) -> None:
+        """A command is owed its status: from its own last byte, or from that of its data."""
+        if self.judge is not None:
+            self._owed.setdefault(tag, []).append(self.judge.asked(self.name, str(tag)))
+            self._sent(tag, unsent)
+
+    def _sent(self, tag: int, unsent: int) -> None:
+        self._unsent[tag] = unsent
+        if not unsent and self.judge is not None:
+            self.judge.is_whole(self._owed[tag][-1], None, lambda: True)
+
+    def _answered(self, tag: int, rejected: bool = False) -> None:
+        """A status is that of the first command with this tag, a reject that of the last."""
+        same = self._owed.get(tag)
+        if self.judge is None:
+            return
+        if same:
+            self.judge.answered(same.pop(-1 if rejected else 0))
+        elif not rejected:
+            self.judge.fault(f"{self.name}: a status that nothing asked for: {tag}")
+
     def _wire(self) -> PduConnection:
         if self._connection is None:
             raise ValueError(f"{self.name} is not connected")
@@ -124,8 +158,12 @@
             self.saw("r2t", tag, f"offset={pdu.word(40)}", f"length={pdu.word(44)}")
             self._answer_r2t(pdu)
         elif pdu.opcode == Op.REJECT:
+            if pdu.data[0] & 0x3F == Op.COMMAND:
+                self._answered(int.from_bytes(pdu.data[16:20], "big"), True)
             self.saw("reject", str(pdu.byte2))
         elif pdu.opcode == Op.TASK_RESPONSE:
+            for owed in self._owed.pop(self._aborting, []):
+                owed.over = True
             self.saw("aborted", str(pdu.byte2))
         elif pdu.opcode == Op.NOP_IN:
             self.saw("nop", tag, pdu.data.decode("latin-1"))
@@ -135,6 +173,7 @@
             self.saw("logout")
 
     def _status(self, pdu: Pdu, data: bytes) -> None:
+        self._answered(pdu.itt)
         name = next((name for name, code in STATUS.items() if code == pdu.byte3), str(pdu.byte3))
         more = [f"{len(data)}", data[:1].decode("latin-1")] if data and name == "good" else []
         if name == "check":
@@ -150,6 +189,8 @@
                 words = {20: pdu.word(20), 36: number, 40: start}
                 start, number = start + len(part), number + 1
                 self._wire().write(Op.DATA_OUT, FINAL if start == end else 0, pdu.itt, words, data=part)
+            if left := self._unsent.get(pdu.itt, 0):
+                self._sent(pdu.itt, max(0, left - pdu.word(44)))
 
     def send_login(self, words: Words) -> None:
         """login [Key=value ...] [stage=N]: to the full feature phase in one step"""
@@ -184,6 +225,7 @@
             cdb=cdb,
             data=data,
         )
+        self._asked(int(given.get("tag", 1)), size - len(data) if flags & 0x20 else 0)
 
     def send_read(self, words: Words) -> None:
         given = options(words)
@@ -223,6 +265,7 @@
 
     def send_abort(self, words: Words) -> None:
         """abort TAG"""
+        self._aborting = int(words[0])
         words_ = {20: int(words[0]), 24: self._wire().cmd_sn}
         self._wire().write(Op.TASK, FINAL | 1, 98, words_, immediate=True)
 
@@ -236,6 +279,7 @@
         self._wire().link.write(bytes.fromhex("".join(words)))
 
     def close(self, words: Words) -> None:
+        self._over()
         self._wire().link.abortConnection()
 
 
--- a/gaugesail/rehearsal/memory.py
+++ b/gaugesail/rehearsal/memory.py
@@ -34,11 +34,13 @@
         self._addresses = host, peer
         self.other: MemoryTransport | None = None
         self._out = bytearray()
+        self.delivered = 0  # bytes that the other side has read
         self._producer: Any = None
         self._streaming = self._producer_paused = self._reading_paused = False
         self._scheduled = self._closing = False
         self._descriptors: list[int] = []  # on their way to the other side
         self.disconnected = False
+        self.process: ProcessReactor | None = None  # that holds it
 
     def setTcpNoDelay(self, on: bool) -> None:
         pass
@@ -93,6 +95,7 @@
             data = bytes(self._out[: self.other.bufferSize])  # as much as it reads at once
             del self._out[: self.other.bufferSize]
             if not self.other.disconnected:
+                self.delivered += len(data)
                 descriptors, self._descriptors = self._descriptors, []
                 for descriptor in descriptors:
                     self.other._protocol.fileDescriptorReceived(descriptor)
@@ -168,6 +171,7 @@
     def __init__(self, reactor: MemoryReactor, address: Any, factory: Any) -> None:
         self._reactor, self._address, self.factory = reactor, address, factory
         self.held = False  # connections wait to be accepted
+        self.process: ProcessReactor | None = None
         reactor.ports.setdefault(address, []).append(self)
 
     def getHost(self) -> Any:
@@ -240,7 +244,7 @@
     def connectUNIX(
         self, address: str, factory: Any, timeout: float = 30, checkPID: int = 0  # noqa: N803
     ) -> _Connector:
-        return self._connect(os.path.realpath(address), factory, timeout, False)
+        return self.connect(os.path.realpath(address), factory, timeout)
 
     def connectTCP(
         self,
@@ -250,11 +254,13 @@
         timeout: float = 30,
         bindAddress: Any = None,  # noqa: N803
     ) -> _Connector:
-        silent = (host, port) in self.silent
-        return self._connect(IPv4Address("TCP", host, port), factory, timeout, silent)
+        return self.connect(IPv4Address("TCP", host, port), factory, timeout)
 
-    def _connect(self, there: Any, factory: Any, timeout: float, silent: bool) -> _Connector:
+    def connect(
+        self, there: Any, factory: Any, timeout: float, process: ProcessReactor | None = None
+    ) -> _Connector:
         connector = _Connector()
+        silent = isinstance(there, IPv4Address) and (there.host, there.port) in self.silent
         factory.doStart()
 
         def failed(error: Exception) -> None:
@@ -274,7 +280,7 @@
                 self.callLater(0.01, up)
                 return
             server = listener.factory.buildProtocol(there) if listener is not None else None
-            if server is None:
+            if listener is None or server is None:
                 factory.clientConnectionFailed(connector, Failure(ConnectionRefusedError()))
                 return
             self._next_port += 1
@@ -282,9 +288,88 @@
             client = factory.buildProtocol(there)
             ends = MemoryTransport(self, client, here, there), MemoryTransport(self, server, there, here)
             ends[0].other, ends[1].other = ends[1], ends[0]
+            ends[0].process, ends[1].process = process, listener.process
+            for end in ends:
+                if end.process is not None:
+                    end.process.ends.append(end)
             server.makeConnection(ends[1])
             client.makeConnection(ends[0])
 
         connector.failed = failed
         call: Any = self.callLater(timeout if silent else 0, up)
         return connector
+
+
+class ProcessReactor:
+    """The reactor as one process has it: what it holds goes when the process ends, and its calls with it."""
+
+    def __init__(self, reactor: MemoryReactor) -> None:
+        self._reactor = reactor
+        self.listening: list[_Port] = []
+        self.ends: list[MemoryTransport] = []
+        self.over = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reactor, name)
+
+    def callLater(self, delay: float, call: Callable[..., Any], /, *args: Any, **named: Any) -> Any:
+        def run() -> None:
+            if not self.over:
+                call(*args, **named)
+
+        return self._reactor.callLater(delay, run)
+
+    def _own(self, port: _Port) -> _Port:
+        port.process = self
+        self.listening.append(port)
+        return port
+
+    def listenTCP(self, *args: Any, **named: Any) -> _Port:
+        return self._own(self._reactor.listenTCP(*args, **named))
+
+    def listenUNIX(self, *args: Any, **named: Any) -> _Port:
+        return self._own(self._reactor.listenUNIX(*args, **named))
+
+    def adoptStreamPort(self, *args: Any) -> _Port:
+        return self._own(self._reactor.adoptStreamPort(*args))
+
+    def adoptStreamConnection(self, descriptor: int, family: int, factory: Any) -> None:
+        end: MemoryTransport = self._reactor.descriptors[descriptor]
+        end.process = self
+        self.ends.append(end)
+        self._reactor.adoptStreamConnection(descriptor, family, factory)
+
+    def connectUNIX(
+        self, address: str, factory: Any, timeout: float = 30, checkPID: int = 0  # noqa: N803
+    ) -> _Connector:
+        return self._reactor.connect(os.path.realpath(address), factory, timeout, self)
+
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None  # noqa: N803
+    ) -> _Connector:
+        return self._reactor.connect(IPv4Address("TCP", host, port), factory, timeout, self)
+
+    def end(self) -> None:
+        """The process is there no more: nothing of it is called again, and its connections end."""
+        self.over = True
+        for port in self.listening:
+            port.stopListening()
+        for end in self.ends:
+            if end.process is not self or end.disconnected:
+                continue
+            other, end.disconnected = end.other, True
+            if other is None:
+                continue
+            # What the system has of us it still sends, unless there is something that nobody read.
+            if other._out or not end._out:
+                why = ConnectionLost() if other._out else ConnectionDone()
+                self._reactor.callLater(0, other._lost, why)
+            else:
+                rest = bytes(end._out)
+                self._reactor.callLater(0, self._last_words, other, rest)
+
+    @staticmethod
+    def _last_words(other: MemoryTransport, rest: bytes) -> None:
+        if not other.disconnected and other._protocol is not None:
+            other._protocol.dataReceived(rest)
+            other._lost(ConnectionDone())
--- a/gaugesail/rehearsal/peers.py
+++ b/gaugesail/rehearsal/peers.py
@@ -13,6 +13,7 @@
 
 from ..http.parser import WHOLE_BODY, BadMessage, Data, Head, Parser
 from ..net import Connection, dial
+from .judge import Judge, RequestBook
 
 Words = list[str]
 
@@ -29,6 +30,8 @@
 class Peer:
     """One party of a scenario.  ``inbox`` holds what it saw and nobody has expected yet."""
 
+    judge: Judge | None = None  # of clients: what they ask is owed an answer
+
     def __init__(self, name: str) -> None:
         self.name = name
         self.inbox: deque[Words] = deque()
@@ -110,6 +113,7 @@
         for part in self._parser.parts():
             if isinstance(part, Head):
                 self._head, self._body = part, b""
+                self.headed(part)
             elif isinstance(part, Data):
                 if len(self._body) <= WHOLE_BODY < len(self._body) + len(part.data):
                     self._owner.begins(self._head)
@@ -120,6 +124,9 @@
                 return self._parser.buffered > 0
         return False
 
+    def headed(self, head: Head) -> None:
+        """The head of a message has come."""
+
     @property
     def half(self) -> bool:
         """More is to come of a message that has begun."""
@@ -164,44 +171,65 @@
 }
 
 
+class ClientConnection(HttpConnection):
+    """A client's side of a connection; what it writes is entered in a book."""
+
+    book: RequestBook | None = None
+
+    def write(self, data: bytes) -> None:
+        if self.book is not None:
+            self.book.wrote(data)
+        self.link.write(data)
+
+    def headed(self, head: Head) -> None:
+        if self.book is not None and head.status >= 200:
+            self.book.headed(head)
+
+
 class HttpClient(Peer):
     """A client of the head, with one connection, opened when it first sends."""
 
     def __init__(self, reactor: Any, name: str, address: Callable[[], tuple[str, int]]) -> None:
         super().__init__(name)
         self._reactor, self._address = reactor, address
-        self._connection: HttpConnection | None = None
+        self._connection: ClientConnection | None = None
         self._unsent: list[bytes] = []
         self._stalled = False
 
-    def opened(self, connection: HttpConnection) -> None:
+    def opened(self, connection: ClientConnection) -> None:
         self._connection = connection
+        if self.judge is not None:
+            connection.book = RequestBook(self.judge, self.name, lambda: not self._stalled)
         if self._stalled:
             connection.link.pauseProducing()
         for data in self._unsent:
-            connection.link.write(data)
+            connection.write(data)
         self._unsent = []
 
-    def lost(self, connection: HttpConnection) -> None:
+    def lost(self, connection: ClientConnection) -> None:
         self._connection = None
+        if connection.book is not None:
+            connection.book.lost(getattr(connection.link, "delivered", None))
         self.saw("broken" if connection.half else "closed")
 
     def begins(self, head: Head) -> None:
         self.saw("begins", str(head.status))
 
-    def message(self, connection: HttpConnection, head: Head, body: bytes) -> None:
+    def message(self, connection: ClientConnection, head: Head, body: bytes) -> None:
         if head.status < 200:
             return
+        if connection.book is not None:
+            connection.book.answered()
         extra = [f"retry-after={head.headers['retry-after']}"] if "retry-after" in head.headers else []
         self.saw(str(head.status), shown(body), *extra)
 
     def _write(self, data: bytes) -> None:
         if self._connection is not None:
-            self._connection.link.write(data)
+            self._connection.write(data)
             return
         self._unsent.append(data)
         if len(self._unsent) == 1:
-            made = dial(self._reactor, self._address(), 5.0, lambda: HttpConnection(self, True))
+            made = dial(self._reactor, self._address(), 5.0, lambda: ClientConnection(self, True))
             made.addErrback(lambda failure: self.saw("refused"))
 
     def send_request(self, words: Words) -> None:
@@ -268,6 +296,8 @@
 
     def close(self, words: Words) -> None:
         if self._connection is not None:
+            if self._connection.book is not None:
+                self._connection.book.gone()
             self._connection.link.abortConnection()
 
 
--- a/gaugesail/rehearsal/scenario.py
+++ b/gaugesail/rehearsal/scenario.py
@@ -11,6 +11,7 @@
     node NAME shard=N                    a stand-in storage node (iscsi)
     client NAME / initiator NAME         a stand-in client
     caller NAME                          one who calls at the second address
+    unanswered CLIENT ID...              requests that get no final answer, as the scenario is about that
 
 then the four verbs:
 
@@ -20,25 +21,29 @@
     close WHO [WORDS...]                 a client leaves, a node dies, the daemon gets SIGTERM
     wait SECONDS
 
+Beside its lines, ``judge.py`` checks in each scenario that every request has its one answer in time, and that
+every process serves or ends.
+
 ``list`` is discovery and ``daemon`` the daemon itself, whose end is seen as ``exit CODE``;
 ``send daemon reload`` replaces its file, ``send daemon replace`` starts the next process beside it, and
-``close daemon`` then means the one that has run for longest.
+``close daemon`` then means the one that has run for longest.  ``send daemon kill`` is SIGKILL to the latest.
 """
 
 from __future__ import annotations
 
 import copy
 import shlex
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from fnmatch import fnmatchcase
 from typing import Any, Protocol
 
 from . import defaults, iscsi_peers
+from .judge import Judge, Process
 from .peers import Caller, Directory, HttpBrick, HttpClient, Listener, Peer, ScenarioError, Words, options
 
 PATIENCE_S = 10.0  # how long an expect without ``within`` waits
-DECLARATIONS = ("daemon", "brick", "node", "client", "initiator", "caller")
+DECLARATIONS = ("daemon", "brick", "node", "client", "initiator", "caller", "unanswered")
 VERBS = ("send", "expect", "close", "wait")
 
 
@@ -103,11 +108,15 @@
 
     reactor: Any
     management: tuple[str, int]  # where the daemon takes calls, once it is started
+    margin_s: float  # by which anything may be late
+    watched: bool  # its processes can be looked at at any time
 
     def address(self) -> str: ...
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]: ...
     def change(self, config: dict[str, Any]) -> None: ...
     def stop(self) -> None: ...
+    def kill(self) -> None: ...
+    def processes(self) -> Sequence[Process]: ...
     def until(self, done: Callable[[], bool], seconds: float) -> bool: ...
     def settle(self) -> None: ...
     def pass_time(self, seconds: float) -> None: ...
@@ -139,6 +148,10 @@
         """replace: another process is started beside the one that runs, with the same address for clients"""
         self._world.start(self.wire, self.config, self)
 
+    def send_kill(self, words: Words) -> None:
+        """kill: SIGKILL to the process that was started last"""
+        self._world.kill()
+
     def close(self, words: Words) -> None:
         self._world.stop()
 
@@ -153,10 +166,13 @@
         self._wire, self._changes = "http", dict[str, str]()
         self._started = False
         self._address = ("", 0)
+        self.judge = Judge(world.reactor, world.processes, world.margin_s)
 
     def play(self) -> None:
         """Returns when every step came true; ScenarioFailed names the first that did not."""
         for step in self._steps:
+            if self.judge.faults:
+                raise ScenarioFailed(f"before line {step.line}: {self.judge.faults[0]}")
             try:
                 if step.verb in DECLARATIONS:
                     self._declare(step.verb, list(step.words))
@@ -166,6 +182,19 @@
                 self._act(step)
             except (ScenarioError, KeyError, IndexError, ValueError) as error:
                 raise ScenarioFailed(f"line {step.line}: {type(error).__name__}: {error}") from error
+        self._play_out()
+
+    def _play_out(self) -> None:
+        """All that is owed has its time yet; then the judge has the last word."""
+        judge = self.judge
+        if self._started:
+            self._world.settle()
+            self._world.until(lambda: bool(judge.faults) or not judge.pending, judge.longest_s + PATIENCE_S)
+            self._world.until(lambda: bool(judge.faults) or not judge.ending, judge.kill_s + PATIENCE_S)
+            judge.look()
+            judge.finish()
+        if judge.faults:
+            raise ScenarioFailed(f"at the end: {'; '.join(judge.faults)}")
 
     def _declare(self, what: str, words: Words) -> None:
         reactor, given = self._world.reactor, options(words)
@@ -173,6 +202,8 @@
             self._wire, self._changes = words[0], given
             if self._wire not in ("http", "iscsi"):
                 raise ScenarioError(f"no wire {self._wire!r}")
+        elif what == "unanswered":
+            self.judge.allowed |= {f"{words[0]} {name}" for name in words[1:]}
         elif words[0] in self.peers:
             raise ScenarioError(f"{words[0]!r} is declared twice")
         elif what == "brick":
@@ -213,7 +244,18 @@
             owner["listen"] = self._world.address()
         self.peers["list"] = directory
         self._daemon.config, self._daemon.wire = config, self._wire
+        self.judge.longest_s = self._longest_s(config)
+        for peer in self.peers.values():
+            peer.judge = self.judge
         self._address = self._world.start(self._wire, config, self._daemon)
+        if self._world.watched:
+            self.judge.watch()
+
+    def _longest_s(self, config: dict[str, Any]) -> float:
+        """The longest deadline of a class."""
+        if self._wire == "iscsi":
+            return float(max(row["deadline_ms"] for row in config["class"])) / 1e3
+        return float(max(row["give_up_us"] for row in config["settings"]["categories"])) / 1e6
 
     def _act(self, step: Step) -> None:
         words = list(step.words)
@@ -239,8 +281,10 @@
             if who.inbox:
                 raise ScenarioFailed(f"line {step.line}: {who.name} saw {who.inbox[0]}, not nothing")
             return
-        if not self._world.until(lambda: bool(who.inbox), patience):
+        if not self._world.until(lambda: bool(who.inbox or self.judge.faults), patience):
             raise ScenarioFailed(f"line {step.line}: {who.name} saw nothing for {patience} s, not {words}")
+        if not who.inbox:
+            raise ScenarioFailed(f"line {step.line}: {self.judge.faults[0]}")
         seen = who.inbox.popleft()
         if len(seen) < len(words) or not all(map(fnmatchcase, seen, words)):
             raise ScenarioFailed(f"line {step.line}: {who.name} saw {seen}, not {words}")
--- a/gaugesail/rehearsal/worlds.py
+++ b/gaugesail/rehearsal/worlds.py
@@ -25,26 +25,62 @@
 from ..iscsi.app import IscsiHead
 from ..iscsi.operator import read_operator, write_toml
 from ..logs import make_logger
-from .memory import MemoryReactor
+from .memory import MemoryReactor, ProcessReactor
 from .peers import Peer, ScenarioError
 from .scenario import Player, ScenarioFailed, Step, split
 
 START_S = 15.0
 
 
+class MemoryProcess:
+    """A process of a head in memory, as it is seen from outside."""
+
+    def __init__(self, name: str, head: Any, reactor: ProcessReactor, shared: MemoryReactor) -> None:
+        self.name, self.head, self.reactor, self._shared = name, head, reactor, shared
+        self.stop_at: float | None = None
+
+    @property
+    def running(self) -> bool:
+        return not self.reactor.over
+
+    @property
+    def _ports(self) -> list[Any]:
+        listening = [port for ports in self._shared.ports.values() for port in ports]
+        return [port for port in listening if port.factory is self.head.front]
+
+    @property
+    def has_listener(self) -> bool:
+        return bool(self._ports)
+
+    @property
+    def accepts(self) -> bool:
+        """Where all places are in use, one that comes free is the next one's."""
+        full = self.head.front.held and self.head.front.connections > 0
+        return any(not port.held or full for port in self._ports)
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.head.front.connections or self.head.engine.open_requests)
+
+
 class MemoryWorld:
     """The daemon's own code on a reactor in memory: the same scenario always plays the same way."""
 
+    margin_s, watched = 0.0, True
+
     def __init__(self, **environ: str) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self._environ = {"TMPDIR": self._folder.name} | environ
         self.reactor = MemoryReactor()
         self.reactor.advance(1_000_000.0)
         self.heads: list[Any] = []  # the processes, in the order they were started
+        self._seen: list[MemoryProcess] = []  # those of them that serve
         self.management = ("", 0)
         self.log = io.StringIO()
-        self.clock = ReactorClock(
-            self.reactor, lambda: round(self.reactor.seconds() * 1e9), lambda: 1_700_000_000 * 10**9
+
+    def clock(self, reactor: ProcessReactor) -> ReactorClock:
+        return ReactorClock(
+            reactor, lambda: round(self.reactor.seconds() * 1e9), lambda: 1_700_000_000 * 10**9
         )
 
     @property
@@ -56,21 +92,27 @@
         return "127.0.0.1:9000"
 
     def start(self, wire: str, config: dict[str, Any], daemon: Peer) -> tuple[str, int]:
-        log = make_logger(self.log)
+        log, own = make_logger(self.log), ProcessReactor(self.reactor)
+        clock = self.clock(own)
         if wire == "iscsi":
-            made: Any = IscsiHead(self.reactor, read_operator(config, self._environ), log, self.clock)
+            made: Any = IscsiHead(own, read_operator(config, self._environ), log, clock)
         else:
-            made = Head(self.reactor, configuration.read(config, self._environ), log, self.clock)
+            made = Head(own, configuration.read(config, self._environ), log, clock)
         self.heads.append(made)
         made.stopped.addCallback(lambda _: daemon.saw("exit", "0"))
+        made.stopped.addCallback(lambda _: self.reactor.callLater(0, own.end))
         failed: list[Failure] = []
         made.start().addErrback(failed.append)
         self.until(lambda: made.front.listening or bool(failed), START_S)
         if failed:
             raise ScenarioError(f"the daemon did not start: {failed[0].value!r}")
+        self._seen.append(MemoryProcess(str(len(self.heads)), made, own, self.reactor))
         self.management = made.management_address
         return made.address  # type: ignore[no-any-return]
 
+    def processes(self) -> list[MemoryProcess]:
+        return self._seen
+
     def change(self, config: dict[str, Any]) -> None:
         """The file that the daemon was started with is another, and SIGHUP tells it so."""
         head, environ = self.heads[-1], self._environ
@@ -79,7 +121,14 @@
 
     def stop(self) -> None:
         """SIGTERM, to the process that has run for longest."""
-        next(head for head in self.heads if not head.stopped.called).stop()
+        process = next(process for process in self._seen if process.running)
+        if process.stop_at is None:
+            process.stop_at = self.reactor.seconds()
+        process.head.stop()
+
+    def kill(self) -> None:
+        """SIGKILL, to the process that was started last."""
+        [process for process in self._seen if process.running][-1].reactor.end()
 
     def until(self, done: Callable[[], bool], seconds: float) -> bool:
         return self.reactor.run_until(done, seconds)
@@ -94,9 +143,34 @@
         self._folder.cleanup()
 
 
+class LoopbackProcess:
+    """A process of a head; whether somebody can come in is asked at its address."""
+
+    busy = True  # that is not seen from here
+
+    def __init__(self, process: subprocess.Popen[str], address: tuple[str, int]) -> None:
+        self._process, self._address = process, address
+        self.name, self.stop_at = str(process.pid), None
+
+    stop_at: float | None
+
+    @property
+    def running(self) -> bool:
+        return self._process.poll() is None
+
+    @property
+    def accepts(self) -> bool:
+        with socket.socket() as one:
+            return one.connect_ex(self._address) == 0
+
+    has_listener = accepts
+
+
 class LoopbackWorld:
     """The daemon as a process of its own, met through sockets on 127.0.0.1."""
 
+    margin_s, watched = 1.0, False
+
     def __init__(self) -> None:
         from twisted.internet import reactor  # importing it installs it: only this world does
 
@@ -106,6 +180,7 @@
         (Path(self._folder.name) / "kept").mkdir()
         self._processes: list[subprocess.Popen[str]] = []
         self._running: list[subprocess.Popen[str]] = []
+        self._seen: list[LoopbackProcess] = []
         self._daemon: Peer | None = None
         self._wire = "http"
         self._addresses: list[tuple[str, int]] = []
@@ -128,8 +203,12 @@
         threading.Thread(target=self._read_log, args=[process], daemon=True).start()
         if not self.until(lambda: len(self._addresses) == len(self._processes), START_S):
             raise ScenarioError("the daemon did not start")
+        self._seen.append(LoopbackProcess(process, self._addresses[-1]))
         return self._addresses[-1]
 
+    def processes(self) -> list[LoopbackProcess]:
+        return self._seen
+
     def _write(self, config: dict[str, Any]) -> None:
         """In one go, as an operator's tool would: the daemon must never read half a file."""
         fresh = self._file.with_suffix(".new")
@@ -150,7 +229,14 @@
         self._running[-1].send_signal(signal.SIGHUP)
 
     def stop(self) -> None:
-        self._running[0].send_signal(signal.SIGTERM)
+        first = self._running[0]
+        for process in self._seen:
+            if process.name == str(first.pid) and process.stop_at is None:
+                process.stop_at = self.reactor.seconds()
+        first.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        self._running[-1].kill()
 
     def until(self, done: Callable[[], bool], seconds: float) -> bool:
         end = time.monotonic() + seconds
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -31,6 +31,7 @@
 SERVE_US = 700_000  # after SIGTERM: until then, connections in use are kept
 LEAST_LONGEST_US = 3_000_000  # SIGKILL comes the longest deadline after SIGTERM, and this at the least,
 END_US = 500_000  # and 0.7 s more: by then all has its answer
+LAST_US = 150_000  # for the answers to be read: what is left then has nothing to wait for
 ABLE_US, ABLE_STEP_US = 3_000_000, 20_000  # how long a next process waits for its watch before it serves
 ADDRESS_US = LAST_ACCEPT_US + 500_000  # how long it waits for its address
 SWEEP_US = 250_000
@@ -271,6 +272,19 @@
     def _end(self) -> None:
         self.front.end()
         self.engine.end_all()
+        self.clock.call_later(LAST_US, self._last)
+
+    def _last(self) -> None:
+        """Connections may linger, as that of a client that sends on behind its answer: it is not served."""
+        if self.passing_answers:
+            self.clock.call_later(LAST_US, self._last)  # for as long as nobody kills it
+        else:
+            self._finished()
+
+    @property
+    def passing_answers(self) -> bool:
+        """An answer is on its way to its client."""
+        return False
 
     def longest_us(self) -> int:
         """The longest deadline, as the platform counts it before it kills."""
