Wait for an address that the process before still has for 25 s, not 2

A head that is started while the one before still has its address ended with cannot_start after 2 s (service.ADDRESS_US, _take_address), which is a crash; one that was told to end may be killed only the longest deadline and 0.7 s after its SIGTERM, 3.7 s at the least. The second address was not waited for at all (start called _listen_for_calls, whose CannotListenError went to cannot_start at once).

Both go through _when_free now: tried each 50 ms for 25 s, as a head has 30 s to be ready; said once (address_awaited). Ruled out: taking the address with SO_REUSEPORT, as the old one's accept queue would share new connections and reset them at its end. SIGTERM while it waits ends it and nothing is taken.

--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -8,7 +8,7 @@
 from dataclasses import fields
 from typing import Any, Protocol
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 
 from marllift.interface import NodeList, Settings
@@ -33,11 +33,14 @@
 END_US = 500_000  # and 0.7 s more: by then all has its answer
 LAST_US = 150_000  # for the answers to be read: what is left then has nothing to wait for
 ABLE_US, ABLE_STEP_US = 3_000_000, 20_000  # how long a next process waits for its watch before it serves
-ADDRESS_US = LAST_ACCEPT_US + 500_000  # how long it waits for its address
+# How long it waits for its address, which the process before may have yet: one that was told to end does so, or
+# is killed, the longest deadline and 0.7 s later.  A head has 30 s to be ready.
+ADDRESS_US, ADDRESS_STEP_US = 25_000_000, 50_000
 SWEEP_US = 250_000
 REPORT_EVERY = 40  # sweeps
 BACKLOG = 512
 
+
 class Companion(Protocol):
     """What works beside the engine for as long as a head lives: its place among other heads."""
 
@@ -95,33 +98,39 @@
 
         The Deferred fires when the address is ours, and fails where it cannot be had.
         """
-        if self.management_address is not None:
-            self._listen_for_calls(*self.management_address)
-        return self._handover.ask().addCallback(self._take_address)
+        if self.management_address is None:
+            return self._handover.ask().addCallback(self._take_address)
+        host, port = self.management_address
+        free = self._when_free(lambda: self._listen_for_calls(host, port))
+        return free.addCallback(lambda _: self._handover.ask()).addCallback(self._take_address)
 
     def _take_address(self, inherited: Inheritance | None) -> Deferred[Any]:
-        """The process before this one may be on its way out and have the address for a moment yet."""
-        if inherited is not None:
-            self._begin(inherited)
-            return succeed(None)
-        begun: Deferred[Any] = Deferred()
-        last = self.clock.now_us() + ADDRESS_US
-
-        def begin() -> None:
+        return self._when_free(lambda: self._begin(inherited))
+
+    def _when_free(self, listen: Callable[[], None]) -> Deferred[Any]:
+        """The process before this one may be on its way out and have the address for a while yet."""
+        done: Deferred[Any] = Deferred()
+        last, waits = self.clock.now_us() + ADDRESS_US, False
+
+        def attempt() -> None:
+            nonlocal waits
             try:
-                self._begin(None)
-            except CannotListenError:
+                listen()
+            except CannotListenError as error:
                 if self.clock.now_us() >= last:
-                    begun.errback()
-                else:
-                    self.clock.call_later(ABLE_STEP_US, begin)
+                    done.errback()
+                    return
+                if not waits:
+                    waits = True
+                    self._log.warning("address_awaited", error=repr(error))
+                self.clock.call_later(ADDRESS_STEP_US, attempt)
             except Exception:
-                begun.errback()
+                done.errback()
             else:
-                begun.callback(None)
+                done.callback(None)
 
-        begin()
-        return begun
+        attempt()
+        return done
 
     def _begin(self, inherited: Inheritance | None) -> None:
         if self._stopping:  # meanwhile it was told to end: nothing was taken, and nothing will be
@@ -168,6 +177,8 @@
         self._log.info("listening", address=f"{self.address[0]}:{self.address[1]}", management=calls)
 
     def _listen_for_calls(self, host: str, port: int) -> None:
+        if self._stopping:
+            return
         self._management = calls = ManagementFront(self.operations, self.clock, self._log)
         if self.companion is not None:
             calls.fleet = self.companion.call
