Let a client's connection end from our side first: closing over unread bytes resets it

ClientConnection.close called loseConnection (front.py, close): Twisted stops reading, shuts both ways and closes a turn later. Bytes that came meanwhile, or lay unread, made the kernel reset the connection. With a client that reads slowly the rest of an answer that our kernel still held was lost with it (60 KB: a part came, then the reset); a request that crossed the end of a resting connection was reset.

Now our side ends (as it already did after an error), what comes is read and thrown away, and the connection closes with its client, or after 1 s (5 s where its answer was not read yet). Where places are short (all in use, one closed for another, one that never said a word) it closes at once as before. Ruled out: a look at unread bytes before the close (dismiss has it): the turn between it and the close stays.

Seen to fail before (tests/test_rare_instants.py): as_its_idle_connection_is_shut, behind_the_last_answer (3). The second front (iscsi/target.py, close) is not changed here.

--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -553,17 +553,17 @@
 
     # -- closing --
 
-    def close(self, linger: bool = False) -> None:
-        """After an error the client may be sending still: closing at once would reset the connection, and the
-        error might never be read.  So our side ends, and what comes is thrown away, within bounds."""
+    def close(self, linger: bool = False, at_once: bool = False) -> None:
+        """The client may be sending still: closing at once would reset the connection, and with it what our
+        kernel still has of the answer.  So our side ends, and what comes is thrown away, within bounds."""
         if self.closing or self.lost:
             return
         self.closing, self._lingering = True, linger
         self._stuck_since = self._front.clock.now_us()
         self.link.unregisterProducer()
-        if linger:
+        if linger or not (at_once or self._front.held):
             self.link.loseWriteConnection()
-        else:
+        else:  # where places are short
             self.link.loseConnection()
 
     def dismiss(self) -> None:
@@ -574,9 +574,12 @@
     def sweep(self, now: int) -> None:
         """Ends what takes too long: a request that never becomes whole, a client that reads nothing."""
         if self._full or self.closing:
-            if now - self._stuck_since > (LINGER_US if self._lingering else UNREAD_US):
+            stuck = now - self._stuck_since
+            if stuck > (LINGER_US if self._lingering else UNREAD_US):
                 self._front.engine.counts["unread"] += not self._lingering
                 self.link.abortConnection()
+            elif self.closing and stuck > (SLOW_US if self._full else LINGER_US):  # its client does not close
+                self.link.loseConnection()
         elif self._paused and self.left:
             pass  # nobody reads it, and it has gone
         elif self._ticket is None and not self._parser.between:
@@ -585,7 +588,7 @@
                 self._fail(408, "the request took too long to arrive")
         elif not self.asked and self._ticket is None and now - self.opened_at > HEAD_US:
             self._front.engine.counts["silent"] += 1
-            self.close()
+            self.close(at_once=True)
 
     def _due(self) -> int:
         """Until when more of the request that is arriving must come."""
@@ -745,7 +748,7 @@
                 if best == 3:
                     break
         if victim is not None:
-            victim.close()
+            victim.close(at_once=True)
         return victim is not None
 
     def used(self, connection: ClientConnection) -> None:
