Force the instants around the end of connections and processes on real sockets

test_rare_instants.py: a request that crosses the shutdown of a resting connection, bytes behind a last answer, a request read after the shutdown, clients that send on every open connection up to SIGKILL; TCP_NODELAY on both sides, the watch and what is handed over; an answer without a length that ends by FIN and by RST, held, passed on and while its reading is paused; requests and answers of every form in pieces of one byte; an answer long after; a reload followed by a drain. test_start.py: killed right after an accept and started again.

--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -33,8 +33,8 @@
 END_US = 500_000  # and 0.7 s more: by then all has its answer
 LAST_US = 150_000  # for the answers to be read: what is left then has nothing to wait for
 ABLE_US, ABLE_STEP_US = 3_000_000, 20_000  # how long a next process waits for its watch before it serves
-# How long it waits for its address, which the process before may have yet: one that was told to end does so, or
-# is killed, the longest deadline and 0.7 s later.  A head has 30 s to be ready.
+# How long it waits for its address, which the process before may have yet: one that was told to end does so,
+# or is killed, the longest deadline and 0.7 s later.  A head has 30 s to be ready.
 ADDRESS_US, ADDRESS_STEP_US = 25_000_000, 50_000
 SWEEP_US = 250_000
 REPORT_EVERY = 40  # sweeps
--- /dev/null
+++ b/tests/test_rare_instants.py
@@ -0,0 +1,356 @@
+"""Bytes in the very moment in which a connection is shut or closed; messages in every form, bit by bit."""
+
+from __future__ import annotations
+
+import socket
+from functools import partial
+from typing import Any
+
+import pytest
+
+from gaugesail import config as configuration
+
+from .turned import End, Place, Turned, turned
+
+KILL_S = 5.7  # after SIGTERM
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def at_once(end: End) -> End:
+    """Its small writes are sent when they are made."""
+    end.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return end
+
+
+def reset(end: End) -> bool:
+    """Behind an end in order a reset is seen by asking alone."""
+    return end.was_reset or bool(end.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
+def ends_with(end: End, tail: bytes) -> bool:
+    return end.read().endswith(tail)
+
+
+def served(rig: Turned, name: str = "first") -> End:
+    """A client whose connection rests after one request."""
+    client = rig.client()
+    client.send(rig.ask(name))
+    rig.bricks[0].answer(name)
+    client.take(b"\r\n\r\nok")
+    rig.pass_time(0.02)
+    return client
+
+
+# ---- a client's connection as it is shut ----
+
+
+def test_a_request_that_comes_as_its_idle_connection_is_shut_is_neither_sent_on_nor_reset() -> None:
+    """It was looked at and nothing lay unread; the request comes before the system hears of the end."""
+    with turned() as rig:
+        client = served(rig)
+        (connection,) = rig.head.front._open
+        connection.dismiss()
+        client.send(rig.ask("late"))
+        assert rig.until(client.gone, 3.0)
+        rig.pass_time(0.5)
+        assert not reset(client) and not rig.bricks[0].saw("late")
+
+
+@pytest.mark.parametrize("after", [0.05, 1.0, 3.0])
+def test_bytes_behind_the_last_answer_do_not_reset_it(after: float) -> None:
+    """An answer ends its connection; its client reads slowly and has sent on meanwhile.  What of the answer
+    is still in our kernel must reach it."""
+    with turned() as rig:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(rig.head.address)
+        client, body = End(rig, sock), b"b" * 60_000
+        client.send(rig.ask("a"))
+        rig.bricks[0].request("a")
+        rig.head.front.closing = True
+        rig.bricks[0].answer("a", body)
+        (connection,) = rig.head.front._open
+        assert rig.until(lambda: connection.closing)
+        client.cram(b"\r\n" + rig.ask("b"))
+        rig.pass_time(after)
+        client.cram(b"\r\n")
+        client.take(b"\r\n\r\n" + body)
+        assert rig.until(client.gone, 3.0) and not client.was_reset and not rig.bricks[0].saw("b")
+
+
+def test_a_request_that_is_read_after_the_shutdown_is_not_sent_on() -> None:
+    """Its client was told of an error, and sends on."""
+    with turned() as rig:
+        client = rig.client()
+        client.send(b"NOISE\r\n\r\n")
+        client.take(b"HTTP/1.1 400 ")
+        client.cram(rig.ask("after"))
+        rig.pass_time(0.5)
+        assert client.gone() and not client.was_reset and not rig.bricks[0].saw("after")
+
+
+def test_a_connection_that_was_shut_ends_though_its_client_never_closes() -> None:
+    with turned() as rig:
+        client = served(rig)
+        rig.head.stop()
+        assert rig.until(lambda: bool(rig.stopped), 2.5)
+        assert client.gone() and not client.was_reset
+
+
+@pytest.mark.parametrize("gap", [0.0, 0.003, 0.05])
+def test_clients_send_on_every_connection_that_stays_open_up_to_the_kill(gap: float) -> None:
+    """One request at a time: each has its answer, or its connection ended in order before it was read."""
+    with turned() as rig:
+        clients = [served(rig, f"first{n}") for n in range(4)]
+        asked, answered = dict[End, int](), 0
+        rig.head.stop()
+        began, number = rig.now, 0
+        while rig.now - began < KILL_S and not rig.stopped:
+            for client in clients:
+                if client in asked and b"\r\n\r\nok" in client.read():
+                    answered += 1
+                    client.text = b""
+                    del asked[client]
+                if client not in asked and not client.ended:
+                    # Without a look at what has come: its end may be on the way.
+                    try:
+                        client.sock.send(rig.ask(f"n{number}"))
+                    except OSError:
+                        client.ended = True
+                        continue
+                    asked[client], number = number, number + 1
+            for n in list(asked.values()):
+                if rig.bricks[0].saw(f"n{n}"):
+                    rig.bricks[0].answer(f"n{n}")
+            rig.turn(2)
+            rig.pass_time(gap)
+            rig.now += 0.002
+        rig.pass_time(0.1)
+        assert rig.stopped and answered >= 4
+        for client, n in asked.items():
+            text = client.read()
+            assert b"\r\n\r\nok" in text or (client.ended and not client.was_reset), (n, text)
+            assert b"\r\n\r\nok" in text or not rig.bricks[0].saw(f"n{n}")
+
+
+# ---- TCP_NODELAY ----
+
+
+def test_no_connection_holds_small_writes_back() -> None:
+    with turned() as rig:
+        client = served(rig)
+        (ours,) = rig.head.front._open
+        (brick,) = rig.head.transport._bricks.values()
+        links = [ours.link, brick.idle[0].link, *(call.link for call in rig.head.discovery._calls)]
+        assert len(links) == 3 and not client.ended
+        for link in links:
+            assert link.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY), link
+
+
+def test_a_connection_that_was_handed_over_holds_no_small_writes_back() -> None:
+    from gaugesail.net import attach
+
+    with turned() as rig:
+        place = Place(rig)
+        for made in (rig.head.front.buildProtocol(None),):
+            far = socket.create_connection(place.listener.getsockname())
+            near = place.accept()
+            attach(rig.reactor, near.sock.detach(), made)
+            assert made.link.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            far.close()
+
+
+# ---- an answer without a length ----
+
+
+@pytest.mark.parametrize("old", [b"0", b"1"])
+@pytest.mark.parametrize("body", [b"", b"looks whole"])
+def test_an_answer_with_no_length_that_is_reset_is_never_served(old: bytes, body: bytes) -> None:
+    with turned() as rig:
+        client, brick = rig.client(), rig.bricks[0]
+        client.send(rig.ask("a"))
+        end = brick.request("a")
+        end.send(b"HTTP/1.%b 200 OK\r\n\r\n%b" % (old, body))
+        rig.turn(2)
+        brick.ends.remove(end)
+        end.rst()
+        brick.answer("a", b"again")
+        assert body not in client.take(b"\r\n\r\nagain") or not body
+        client.send(rig.ask("b"))
+        brick.answer("b")
+        client.take(b"\r\n\r\nok")
+
+
+@pytest.mark.parametrize("unread", [True, False])
+def test_its_bytes_and_the_reset_found_in_one_turn_are_no_answer(unread: bool) -> None:
+    with turned() as rig:
+        client, brick = rig.client(), rig.bricks[0]
+        client.send(rig.ask("a"))
+        end = brick.request("a")
+        brick.ends.remove(end)
+        end.send(b"HTTP/1.1 200 OK\r\n\r\nlooks whole")
+        if not unread:
+            rig.reactor.doIteration(0)
+        end.rst()
+        brick.answer("a", b"again")
+        assert b"whole" not in client.take(b"\r\n\r\nagain")
+
+
+def test_an_answer_with_no_length_is_served_at_its_end_in_order() -> None:
+    with turned() as rig:
+        client, brick = rig.client(), rig.bricks[0]
+        client.send(rig.ask("a"))
+        end = brick.request("a")
+        end.send(b"HTTP/1.1 200 OK\r\n\r\nwhole")
+        rig.pass_time(0.1)
+        assert not client.read()
+        end.fin()
+        assert b"Content-Length: 5\r\n" in client.take(b"\r\n\r\nwhole")
+
+
+@pytest.mark.parametrize("way", ["fin", "rst"])
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_a_large_one_that_is_passed_on_ends_for_its_client_as_it_ended(way: str, version: bytes) -> None:
+    with turned() as rig:
+        client, brick = rig.client(), rig.bricks[0]
+        client.send(rig.ask("a").replace(b"HTTP/1.1", b"HTTP/" + version, 1))
+        end = brick.request("a")
+        end.send(b"HTTP/1.1 200 OK\r\n\r\n" + b"p" * 100_000)
+        assert rig.until(lambda: client.read().count(b"p") >= 90_000)
+        getattr(end, way)()
+        rig.pass_time(0.1)
+        text = client.read()
+        whole = text.endswith(b"0\r\n\r\n") if version == b"1.1" else client.ended and not client.was_reset
+        assert whole == (way == "fin")
+        if way == "rst":
+            assert client.was_reset
+
+
+@pytest.mark.parametrize("way", ["fin", "rst"])
+def test_its_end_while_the_client_reads_nothing(way: str) -> None:
+    """Reading it is paused: a reset is found by its end alone, an end in order behind all its bytes."""
+    with turned() as rig:
+        client, brick = rig.client(), rig.bricks[0]
+        client.send(rig.ask("a"))
+        end = brick.request("a")
+        end.send(b"HTTP/1.1 200 OK\r\n\r\n" + b"p" * 70_000)
+        rig.pass_time(0.05)
+        (ours,) = rig.head.front._open
+        sent = 70_000
+        for _ in range(4000):
+            sent += end.cram(b"p" * 100_000)
+            rig.turn(4)
+            if ours._source._paused:
+                break
+        assert ours._source._paused
+        getattr(end, way)()
+        rig.pass_time(0.3)
+        rig.until(lambda: client.gone() or client.text.endswith(b"\r\n0\r\n\r\n"), 20.0)
+        whole = client.text.endswith(b"\r\n0\r\n\r\n") and client.text.count(b"p") == sent
+        assert whole == (way == "fin") and client.was_reset == (way == "rst")
+
+
+# ---- every form, in pieces of one byte ----
+
+FIELDS = (
+    b"Request-Id: %b\r\nRequest-Class: read\r\nX-Plan: basic\r\nCookie: block=1\r\n"
+    b"Request-Timeout-Ms: 3000\r\nX-IO: volume=1,units=1,shard=0,hosts=1\r\n"
+)
+REQUESTS = {
+    "plain": b"GET /api HTTP/1.1\r\nHost: a\r\n" + FIELDS + b"\r\n",
+    "query": b"GET /api?x=%%20y&z HTTP/1.1\r\nHost: a\r\n" + FIELDS + b"\r\n",
+    "length": b"PUT /api HTTP/1.1\r\nHost: a\r\n" + FIELDS + b"Content-Length: 4\r\n\r\nbody",
+    "no body": b"PUT /api HTTP/1.1\r\nHost: a\r\n" + FIELDS + b"Content-Length: 0\r\n\r\n",
+    "chunks": b"PUT /api HTTP/1.1\r\nHost: a\r\n" + FIELDS + b"Transfer-Encoding: chunked\r\n\r\n"
+              b"1;x=\"y\"\r\nb\r\n03\r\nody\r\n0;z\r\nX-Trailer: t\r\n\r\n",
+    "lower case": b"GET /api HTTP/1.1\r\nhost: a\r\n" + FIELDS.lower().replace(b"%b", b"%b") + b"\r\n",
+    "white space": b"GET /api HTTP/1.1\r\nHost:a\r\n" + FIELDS.replace(b": ", b":\t  ") + b"X-E:\r\n\r\n",
+    "empty lines": b"\r\n\r\nGET /api HTTP/1.1\r\nHost: a\r\n" + FIELDS + b"\r\n",
+    "absolute": b"GET http://app.svc/api HTTP/1.1\r\nHost: a\r\n" + FIELDS + b"\r\n",
+    "old": b"GET /api HTTP/1.0\r\nConnection: keep-alive\r\n" + FIELDS + b"\r\n",
+    "expects": b"PUT /api HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n" + FIELDS
+               + b"Content-Length: 4\r\n\r\nbody",
+}  # fmt: skip
+ANSWERS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              b"2;x=1\r\nwh\r\n3\r\nole\r\n0\r\nT: t\r\n\r\n",
+    "lower case": b"HTTP/1.1 200 ok\r\ncontent-length:5\r\n\r\nwhole",
+    "no reason": b"HTTP/1.1 200 \r\nContent-Length:  5 \r\n\r\nwhole",
+    "interim": b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+    "old": b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nwhole",
+    "closes": b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole",
+}
+
+
+@pytest.mark.parametrize("form", sorted(REQUESTS))
+def test_a_request_in_pieces_of_one_byte(form: str) -> None:
+    with turned() as rig:
+        client, brick = at_once(rig.client()), rig.bricks[0]
+        for name in ("a", "b"):  # and the next one on the same connection
+            for byte in REQUESTS[form] % name.encode():
+                client.send(bytes([byte]))
+                rig.turn()
+            end = brick.request(name)
+            if b"PUT" in REQUESTS[form]:
+                size = 0 if form == "no body" else 4
+                assert b"content-length: %d\r\n" % size in end.text.lower()
+                tail = b"\r\n\r\n" + b"body"[:size]
+                assert rig.until(partial(ends_with, end, tail))
+            brick.answer(name, b"<%b>" % name.encode())
+            client.take(b"\r\n\r\n<%b>" % name.encode())
+
+
+@pytest.mark.parametrize("form", sorted(ANSWERS))
+def test_an_answer_in_pieces_of_one_byte(form: str) -> None:
+    with turned() as rig:
+        client, brick = rig.client(), rig.bricks[0]
+        for name in ("a", "b"):
+            client.send(rig.ask(name))
+            end = at_once(brick.request(name))
+            end.text = b""
+            for byte in ANSWERS[form]:
+                assert not client.read()
+                end.send(bytes([byte]))
+                rig.turn()
+            client.take(b"\r\n\r\nwhole")
+            assert not client.read() and rig.head.engine.counts["sent"] == (1 if name == "a" else 2)
+            rig.pass_time(0.02)
+
+
+# ---- too late ----
+
+
+@pytest.mark.parametrize("half", [0, 20])
+def test_an_answer_long_after_reaches_nobody(half: int) -> None:
+    """Its request was answered long ago; part of it may have come before."""
+    with turned(settings__categories__0__effect="fragile") as rig:
+        client, brick = rig.client(), rig.bricks[0]
+        client.send(rig.ask("a"))
+        end = brick.request("a")
+        end.text = b""
+        end.send(OK[:half])
+        client.take(b"HTTP/1.1 5")
+        rig.pass_time(4.0)
+        before = client.read()
+        assert end.gone(), "the attempt is still out"
+        client.send(rig.ask("b"))
+        assert brick.request("b") is not end
+        brick.answer("b", b"b!")
+        assert client.take(b"\r\n\r\nb!")[len(before):].count(b"HTTP/1.1 ") == 1
+
+
+def test_a_reload_followed_by_a_drain() -> None:
+    """The new discovery tells a drain with its first list, and another one right behind it."""
+    with turned() as rig:
+        client, brick, place = rig.client(), rig.bricks[0], Place(rig)
+        config: dict[str, Any] = rig.config | {"discovery": place.address}
+        rig.head.hang_up(lambda: configuration.read(config, {}))
+        rig.watch = rig.watched(place)
+        rig.watch.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + rig.told(True, [brick], 1))
+        rig.watch.send(rig.drain(brick, 2))
+        rig.turn(3)
+        client.send(rig.ask("a"))
+        client.take(b"HTTP/1.1 503 ")
+        rig.pass_time(0.5)
+        assert not brick.saw("a")
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -128,8 +128,8 @@
             return one.recv(100).startswith(b"HTTP/1.1 503 ")
 
     def end(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
+        """SIGKILL, where it is still there."""
+        self.process.kill()
         self.process.wait()
         self.log.close()
 
@@ -205,3 +205,28 @@
             before.end()
             if head is not None:
                 head.end()
+
+
+def test_a_head_that_is_killed_right_after_an_accept_is_ready_again(tmp_path: Path) -> None:
+    """Who was let in is reset, with a request or without; the next process has the address at once."""
+    with discovery(waits) as there:
+        before = Started(tmp_path, there.address, free_address())
+        head = None
+        try:
+            before.ready_after()
+            with (
+                socket.create_connection((before.host, before.port)) as silent,
+                socket.create_connection((before.host, before.port)) as asks,
+            ):
+                asks.sendall(b"GET /_health HTTP/1.1\r\n")
+                before.end()
+                head = Started(tmp_path, there.address, f"{before.host}:{before.port}")
+                for one in (silent, asks):
+                    one.settimeout(5.0)
+                    with suppress(ConnectionError):
+                        assert one.recv(100) == b""
+            assert head.ready_after() <= READY_S
+        finally:
+            before.end()
+            if head is not None:
+                head.end()
