--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -90,6 +90,10 @@
             legacy[1].update(discovery=self.discovery.host, list=self.discovery.latest)
         return legacy
 
+    @property
+    def passing_answers(self) -> bool:
+        return bool(self.front.streams)
+
     def pass_on(self) -> None:
         for client in self.front.streams:
             client.move(self._moved)
@@ -212,6 +216,7 @@
         maybeDeferred(head.start).addErrback(cannot_start)
         gc.collect()
         gc.freeze()
+        gc.enable()
 
     head.stopped.addCallback(lambda _: reactor.callLater(0, reactor.stop))
     reactor.callWhenRunning(up)
