--- a/marllift/recovery.py
+++ b/marllift/recovery.py
@@ -214,16 +214,13 @@
     def first_asked(self, now: int, request: api.Request, kind: int, earliest: int) -> int:
         """When the client of a request first asked for it, in microseconds, as far as that can be told.
 
-        A repeat has what is left of its class's time, so that it first asked ``earliest``, which is that time
-        before it gives up, or when its first refusal was kept.  Who asks for the first time with less than
-        the class's time gives up early, and has waited for nothing yet.
+        A repeat has what is left of its class's time: it first asked that time before it gives up, which is
+        ``earliest``.  Who asks for the first time with less gives up early, and has waited for nothing yet.
         """
         if earliest >= now:
             return now
-        ticket = self.repeats.find(self.repeats.mark(request, kind))
-        if not self._repeats(request, ticket):
-            return now
-        return earliest if ticket is None else max(earliest, ticket.since)
+        ticket = None if self._set.clients_mark else self.repeats.find(self.repeats.mark(request, kind))
+        return earliest if self._repeats(request, ticket) else now
 
     def arrived(self, now: int, job: Job, request: api.Request) -> None:
         """How a request stands in the line of its shard."""
