--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -314,21 +314,24 @@
             return
         self.dirty[node.shard] = self.shards[node.shard]
         job.out, chain, result = False, job.chain, event.result
-        # The node served what was sent later: this one was lost by itself, say with its connection.
-        alone = result in BROKEN and job.sent_at < node.lived
-        if self.recovery.outcome(self.now, job, result, alone):
+        # The node served what was sent later: this one was lost by itself, say with its connection.  Or its
+        # client left it less time than a node is allowed to take.
+        short = result is Result.TIMEOUT and event.elapsed_us < self.target[job.kind]
+        blameless = short or (result in BROKEN and job.sent_at < node.lived)
+        if self.recovery.outcome(self.now, job, result, blameless):
             node.windows = [COLD_WINDOW] * TIERS
         node.used[job.kind] -= 1
         # Under one request out in the mean: one, and then a gap (Little's law).
         node.rest = [self.now + int(event.elapsed_us * max(0.0, 1 / w - 1)) for w in node.windows]
-        if result in (Result.SERVED, Result.TIMEOUT):  # what is overdue took at least so long
+        # What is overdue took at least so long.
+        if result is Result.SERVED or (result is Result.TIMEOUT and not short):
             node.sums[job.kind] += event.elapsed_us
             node.counts[job.kind] += 1
         if result is Result.SERVED:
             node.misses, node.lived = 0, max(node.lived, job.sent_at)
             self.cold.served(node, job.sent_at, job.units)
             job.volume.reserve -= event.others_units
-        elif not alone and result not in (Result.MOOT, Result.CANCELLED):
+        elif not blameless and result not in (Result.MOOT, Result.CANCELLED):
             # A connection that broke is mostly the connection's fault, a second one in a row the node's.
             broke = result is Result.RESET and not node.misses
             node.misses += 0.5 if broke else 1
@@ -476,9 +479,9 @@
             self.ticking = False
             for number, shard in list(self.shards.items()):
                 for job in [job for waiting in shard.waiting for job in waiting]:
-                    barred = shard.away and not job.movable
-                    if barred or self.now >= job.aim_at or (job.attempts and not self._may_repeat(job)):
-                        self._end(job, "away" if barred else "aim" if self.now >= job.aim_at else "no_repeat")
+                    barred, late = shard.away and not job.movable, self.now >= job.begin_by
+                    if barred or late or (job.attempts and not self._may_repeat(job)):
+                        self._end(job, "away" if barred else "aim" if late else "no_repeat")
                     elif job.movable and job.risky_at is None and shard.node is None:
                         shard.waiting[job.kind].remove(job)
                         job.shard = self._place_new(job.kind)
--- a/marllift/recovery.py
+++ b/marllift/recovery.py
@@ -101,10 +101,10 @@
         cold = node.cold_since is not None
         self._turn(line, now, Phase.COLD if cold else Phase.WARM, "the list says so")
 
-    def outcome(self, now: int, job: Job, result: Result, alone: bool = False) -> bool:
+    def outcome(self, now: int, job: Job, result: Result, blameless: bool = False) -> bool:
         """How an attempt ended at the shard's node; whether it was a trial that the node has stood.
 
-        One that was lost ``alone``, while the node served what was sent later, says nothing of the node.
+        One for which the node is ``blameless``, as it served what was sent later, says nothing of it.
         """
         line = self.lines.get(job.shard)
         if result is Result.TIMEOUT:
@@ -118,7 +118,7 @@
             if line.phase is Phase.FAILING:
                 self._turn(line, now, Phase.WARM, "a trial was served")
                 return True
-        elif (points := FAILS.get(result, 0)) and self.on and not alone:
+        elif (points := FAILS.get(result, 0)) and self.on and not blameless:
             if line is None:
                 line = self._open(now, job.shard, Phase.SERVING, "an attempt failed")
             line.points += points
--- a/marllift/state.py
+++ b/marllift/state.py
@@ -8,6 +8,8 @@
 from .amounts import Store
 from .interface import NodeId, Plan, RequestClass
 
+HALF_SPENT = 0.4  # of a request's time, so that its refusal arrives before half of it is over
+
 
 @dataclass(slots=True, eq=False)
 class Volume:
@@ -67,6 +69,13 @@
     hung: int = 0  # attempts for it that ran out of time, those of its client's earlier tries too
     standing: int = 2  # against others in the line of its shard (recovery.Standing): fresh
 
+    @property
+    def begin_by(self) -> int:
+        """Refused if it waits still then, in microseconds: past its aim, or near half of its time without
+        an attempt, from where on a refusal costs its worth in part (protocol, Figures)."""
+        latest = self.taken + int(HALF_SPENT * (self.give_up - self.taken))
+        return self.aim_at if self.attempts else min(self.aim_at, latest)
+
 
 @dataclass(slots=True, eq=False)
 class NodeBook:
