--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -65,7 +65,6 @@
         )
         self.needs_list = config.pushed
         self.engine = Engine(config.settings, config.seed, self.clock, self.transport, self.discovery, log)
-        self.transport.counts = self.engine.counts
         self.front = ClientFront(
             self.engine,
             config.settings,
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
-from twisted.internet.error import TimeoutError as ConnectTimeout
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
@@ -22,7 +21,6 @@
 IDLE_SHARE = 0.6  # of the time after which the other side closes; a request written then would be reset
 REST_US = 5_000  # of a connection after an answer: what else comes then must not meet the next request
 MAX_DIALS = 8  # to one brick at once
-LATE_TIMES, LEAST_LATE_US = 4, 5_000  # the usual time to connect, after which a dial is late; at the least
 MAX_INTERIM = 8  # 1xx answers before the real one
 STALL_US = 500_000  # without a byte of an answer that has begun: it never will be whole
 STREAM_STALL_US = 5_000_000  # the same of one that is being passed on, while its client reads
@@ -169,16 +167,6 @@
         self._held = b""
 
 
-@dataclass(slots=True, eq=False)
-class _Dial:
-    """A connection that is coming up."""
-
-    since_us: int
-    late: bool = False  # it takes far longer than usual: nothing counts on it any more
-    made: Deferred[Any] | None = None
-    check: Call | None = None  # whether it is late
-
-
 @dataclass(slots=True, eq=False)
 class _Brick:
     """One brick's connections, and what waits for one."""
@@ -187,7 +175,7 @@
     idle: list[BrickConnection] = field(default_factory=list)
     busy: set[BrickConnection] = field(default_factory=set)
     waiting: deque[_Job] = field(default_factory=deque)
-    dials: set[_Dial] = field(default_factory=set)
+    dials: set[Deferred[Any]] = field(default_factory=set)
     rest: Call | None = None  # until an idle connection has rested
     epoch: int = 0  # goes up when the process behind the address is another
 
@@ -195,11 +183,6 @@
     def connections(self) -> int:
         return len(self.idle) + len(self.busy) + len(self.dials)
 
-    @property
-    def coming(self) -> int:
-        """Dials that are not late."""
-        return sum(not dialling.late for dialling in self.dials)
-
 
 class IdleBook:
     """How often a connection used again is reset at once, by how long it had been idle.
@@ -233,28 +216,6 @@
         self.reset = [reset * self.FADE for reset in self.reset]
 
 
-class DialBook:
-    """How long connections take to come up, over all bricks: from when on one is late.
-
-    A dial that is late has most likely lost a packet, and another one is made beside it, as RFC 8305 does
-    for addresses; the first that comes up is used.  The median is not moved by those that are late.
-    """
-
-    KEPT = 31
-
-    def __init__(self) -> None:
-        self._times: deque[int] = deque(maxlen=self.KEPT)
-
-    def ended(self, took_us: int) -> None:
-        """One came up, or was given up, after so long."""
-        self._times.append(took_us)
-
-    def late_us(self, timeout_us: int) -> int:
-        """After how long a dial is late, in microseconds; at most half of the time that it is given."""
-        usual = sorted(self._times)[len(self._times) // 2] if self._times else timeout_us // 16
-        return min(max(LEAST_LATE_US, LATE_TIMES * usual), timeout_us // 2)
-
-
 class BrickConnection(Connection):
     """One connection to a brick.  What arrives without a request out, or after its end, closes it."""
 
@@ -556,8 +517,6 @@
         self._away: set[NodeId] = set()  # in maintenance
         self._closing = False
         self.idle_book = IdleBook()
-        self.dial_book = DialBook()
-        self.counts: Counter[str] = Counter()
 
     @property
     def connections(self) -> int:
@@ -565,7 +524,7 @@
 
     def retune(self, idle_us: int, connect_timeout_us: int) -> None:
         self._idle_us = int(idle_us * IDLE_SHARE)
-        self._connect_us = connect_timeout_us
+        self._connect_s = connect_timeout_us / 1e6
 
     def limit(self, connections: int) -> None:
         """How many connections there may be; what is idle beyond that goes."""
@@ -614,9 +573,8 @@
             return
         brick.epoch += 1
         waiting, brick.waiting = brick.waiting, deque()
-        for dialling in list(brick.dials):
-            if dialling.made is not None:
-                dialling.made.cancel()
+        for made in list(brick.dials):
+            made.cancel()
         for connection in list(brick.idle):
             connection.abort()
         for connection in list(brick.busy):
@@ -776,69 +734,45 @@
     def _dial(self, brick: _Brick) -> None:
         line = self._usable(brick.node)
         # One more than wait: where each is used again at once, the next would wait for its rest every time.
-        # A dial that is late is made up for by another.
-        coming = brick.coming
-        if line is None or self._closing or len(brick.dials) >= MAX_DIALS:
+        coming = len(brick.dials) + len(brick.idle)
+        if line is None or self._closing or len(brick.dials) >= MAX_DIALS or coming > len(brick.waiting):
             return
-        if coming >= len(brick.waiting) or coming + len(brick.idle) > len(brick.waiting):
+        if len(brick.dials) >= len(brick.waiting):
             return
         if self.connections >= self._max and not self._make_room():
             if not brick.connections:  # none that it could wait for
                 self.finish(brick.waiting.popleft(), Result.NO_CONNECTION)
             return
-        epoch, dialling = brick.epoch, _Dial(self.clock.now_us())
-        brick.dials.add(dialling)
-        self.counts["dialled"] += 1
-        # Each one more waits twice as long, as the brick may be gone.
-        late_us = self.dial_book.late_us(self._connect_us) << (len(brick.dials) - coming - 1)
-        if late_us < self._connect_us:
-            dialling.check = self.clock.call_later(late_us, lambda: self._is_late(brick, dialling))
-        dialling.made = made = dial(
+        epoch = brick.epoch
+        made = dial(
             self._reactor,
             (line.host, line.port),
-            self._connect_us / 1e6,
+            self._connect_s,
             lambda: BrickConnection(self, brick, epoch),
         )
-        made.addCallbacks(self._dialled, self._dial_failed, (brick, dialling), {}, (brick, dialling))
+        brick.dials.add(made)
+        made.addCallbacks(self._dialled, self._dial_failed, (brick, made), {}, (brick, made))
         made.addErrback(self._fault)
 
-    def _is_late(self, brick: _Brick, dialling: _Dial) -> None:
-        dialling.check, dialling.late = None, True
-        self.counts["dial_late"] += 1
-        self._dial(brick)
-
-    def _dial_ended(self, brick: _Brick, dialling: _Dial) -> int:
-        """A dial is over: how long it took, in microseconds."""
-        brick.dials.discard(dialling)
-        if dialling.check is not None:
-            dialling.check.cancel()
-        return self.clock.now_us() - dialling.since_us
-
-    def _dialled(self, connection: BrickConnection, brick: _Brick, dialling: _Dial) -> None:
-        self.dial_book.ended(self._dial_ended(brick, dialling))
+    def _dialled(self, connection: BrickConnection, brick: _Brick, made: Deferred[Any]) -> None:
+        brick.dials.discard(made)
         if connection.lost:
-            self._next(brick)
+            self._next(brick, Result.NO_CONNECTION)
         elif connection.epoch != brick.epoch or self._closing:
             connection.abort()
         else:
             self.freed(connection, fresh=True)
 
-    def _dial_failed(self, failure: Failure, brick: _Brick, dialling: _Dial) -> None:
-        took_us = self._dial_ended(brick, dialling)
-        self.counts["dial_failed"] += 1
-        if isinstance(failure.value, ConnectTimeout):
-            self.dial_book.ended(took_us)
-        self._next(brick)
+    def _dial_failed(self, failure: Failure, brick: _Brick, made: Deferred[Any]) -> None:
+        brick.dials.discard(made)
+        self._next(brick, Result.NO_CONNECTION)
 
-    def _next(self, brick: _Brick) -> None:
-        """A dial came to nothing: the one that has waited longest has its outcome, unless another is coming
-        up, within the time to connect.  Those that are late are not counted on."""
+    def _next(self, brick: _Brick, result: Result) -> None:
+        """A dial came to nothing: the one that has waited longest has its outcome."""
         while brick.waiting and brick.waiting[0].over:
             brick.waiting.popleft()
-        if brick.waiting:
-            waited = self.clock.now_us() - brick.waiting[0].since_us
-            if waited >= self._connect_us or len(brick.waiting) > brick.coming + len(brick.idle):
-                self.finish(brick.waiting.popleft(), Result.NO_CONNECTION)
+        if len(brick.waiting) > len(brick.dials) + len(brick.idle):
+            self.finish(brick.waiting.popleft(), result)
         self._dial(brick)
 
     def _fault(self, failure: Failure) -> None:
