Count what a fleet sends to a cold node; keep that count when a list drops the node

Fleets of whole heads that may not talk are played in virtual time (gaugesail/lab/ramp.py): heads born at different moments, told up to 4 s apart, killed one by one or all at once again and again, nodes that start twice, refuse all, fail a part, lists that drop the node for a moment. The node is the weakest legal one; what arrives is counted there in each window of fall_us against N + 2 x root of N + 2.

Cause found with it: NodeBook.unserved, what was sent and not yet served, ended with the book. decide.py's period (`self.nodes = {... if node.listed or node.out}`) drops the book of a node that is not listed and has nothing out; a list that names the node again with the same start made a new one, and the whole part was sent once more within the window.

Change: the count is kept by ColdCare under the node's address, and goes when its window is over.

Ruled out, counted and within the rule before as well: hearing seconds apart, a node that starts twice, new lives in a burst (each waits a window), attempts that fail and are repeated.

--- a/marllift/cold.py
+++ b/marllift/cold.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import struct
+from collections import deque
 
 from . import interface as api
 from .state import NodeBook, Shard
@@ -23,6 +24,9 @@
 
     def __init__(self, settings: api.Settings, born: int) -> None:
         self._set, self._born = settings, born
+        # Units sent by when, less what was served of them: by node and not in its book, as a list that drops
+        # a node for a moment ends the book, and what was sent to the node counts all the same.
+        self._unserved: dict[api.NodeId, deque[tuple[int, float]]] = {}
 
     def settle(self, settings: api.Settings) -> None:
         self._set = settings
@@ -60,23 +64,30 @@
         if node.cold_since <= self._born and start <= self._born:
             return borne, 0.0  # an earlier life of this gateway may have spent its part, or given it
         part = node.part / lives
-        room = borne * part - sum(units for at, units in node.unserved if at >= start)
+        log = self._unserved.get(node.id, ())
+        room = borne * part - sum(units for at, units in log if at >= start)
         if strict:
-            sent = sum(units for at, units in node.unserved if units > 0 and at >= start - ARRIVAL_US)
+            sent = sum(units for at, units in log if units > 0 and at >= start - ARRIVAL_US)
             room = min(room, self.told(now, node.cold_since) * part - sent)
         return borne, room
 
     def sent(self, now: int, node: NodeBook, units: float) -> None:
         """Units go to a node."""
-        if self._set.fall_us:
-            node.unserved.append((now, units))
-            while node.unserved[0][0] < now - self._set.fall_us - ARRIVAL_US:
-                node.unserved.popleft()
+        if not self._set.fall_us:
+            return
+        oldest = now - self._set.fall_us - ARRIVAL_US
+        if (log := self._unserved.get(node.id)) is None:
+            kept = self._unserved.items()
+            self._unserved = {key: old for key, old in kept if max(old)[0] >= oldest}
+            log = self._unserved[node.id] = deque()
+        log.append((now, units))
+        while log[0][0] < oldest:
+            log.popleft()
 
     def served(self, node: NodeBook, sent_at: int, units: float) -> None:
         """It has served units that were sent then."""
-        if self._set.fall_us:
-            node.unserved.append((sent_at, -units))
+        if (log := self._unserved.get(node.id)) is not None:
+            log.append((sent_at, -units))
 
     def give(self, now: int, shard: Shard, node: NodeBook, lives: int) -> api.Tell | None:
         """Give what is not needed here of a cold node to a gateway that wants it; deducted before it is
--- a/marllift/state.py
+++ b/marllift/state.py
@@ -95,7 +95,6 @@
     want_at: int = 0
     wanters: dict[int, int] = field(default_factory=dict)
     rest: list[int] = field(default_factory=list)
-    unserved: deque[tuple[int, float]] = field(default_factory=deque)  # sent; less what was served
 
     def __post_init__(self) -> None:
         count = len(self.latency)
--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,110 @@
+"""Rule 4 counted at the node, over whole fleets that may not talk (gaugesail/lab/ramp.py).
+
+200 seeds: each plays a fleet of 5, 20 or 30 heads, every twentieth one of 200.  The long form, with all 200
+seeds for each size, is ``gaugesail measure ramp``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pytest
+
+from gaugesail.lab.ramp import Play, Ramp, plays
+from marllift import interface as api
+from marllift.decide import Gateway
+
+SIZES = (5, 20, 30)
+
+
+def short(heads: int, seed: int) -> Play:
+    play = plays(heads, seed)
+    return replace(play, span=4.0, rate=20.0, first_ask=min(play.first_ask, 1.0))
+
+
+def over(played: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Where the node got more than N + 2 x root of N + 2 from heads that had been told of its start, or fell
+    with over two thirds of what it got from such.
+    """
+    return [one for one in played if one["worst"] > 1 or one["broken"]]
+
+
+@pytest.mark.parametrize("part", range(4))
+def test_a_cold_node_gets_no_more_than_its_budget_and_chance(part: int) -> None:
+    seeds = range(1 + 50 * part, 51 + 50 * part)
+    played = [Ramp(short(200 if seed % 20 == 0 else SIZES[seed % 3], seed)).run() for seed in seeds]
+    assert not over(played)
+    assert sum(one["arrived"] for one in played) > 400, "sending nothing is no answer"
+
+
+def test_the_same_play_gives_the_same_figures() -> None:
+    assert Ramp(short(20, 5)).run() == Ramp(short(20, 5)).run()
+
+
+# ---- faults that the count finds ----
+
+
+def old_life(head: Gateway) -> None:
+    """A new life takes its part at once, as if no earlier one had spent it."""
+    head.cold._born = 0
+
+
+def forgets(head: Gateway) -> None:
+    """What was sent is not kept."""
+    head.cold.sent = lambda now, node, units: None  # type: ignore[method-assign]
+
+
+def drops(head: Gateway) -> None:
+    """What was sent is forgotten with the book of a node that a list has dropped."""
+    listed = head._list
+
+    def heard(event: api.NodeList) -> None:
+        if event.kind is api.ListKind.FULL:
+            head.cold._unserved.clear()
+        listed(event)
+
+    head.handlers[api.NodeList] = heard
+
+
+def sound(head: Gateway) -> None:
+    """No fault."""
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A fault planted in all heads, and plays of which some show it."""
+
+    name: str
+    play: Play
+    seeds: tuple[int, ...]
+    change: Callable[[Gateway], None] = sound
+    told: Callable[[api.Settings], api.Settings] = lambda given: given
+
+    def worst(self) -> float:
+        """Of all its plays."""
+
+        def make(given: api.Settings, seed: int, now: int) -> Gateway:
+            head = Gateway(given, seed, now)
+            self.change(head)
+            return head
+
+        played = [Ramp(replace(self.play, seed=seed), make, self.told).run() for seed in self.seeds]
+        return max(float(one["worst"]) for one in played)
+
+
+CROWD = Play(span=4.0, rate=100.0, slots=0)
+MANY = replace(CROWD, heads=20, slots=40)
+FAULTS = [
+    Fault("the part is not divided", MANY, (0, 1), told=lambda given: replace(given, gateways=1, me=0)),
+    Fault("a cold node counts as warm", MANY, (0, 1), told=lambda given: replace(given, cold_share=1.0)),
+    Fault("a new life has its part at once", replace(CROWD, restarts="burst"), (8, 23), old_life),
+    Fault("what was sent is not kept", CROWD, (4, 6, 11, 21, 23), forgets),
+    Fault("a list that drops the node ends its book", replace(CROWD, flaps=True), (4, 21), drops),
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
+def test_the_count_finds_a_planted_fault(fault: Fault) -> None:
+    assert replace(fault, change=sound, told=lambda given: given).worst() <= 1
+    assert fault.worst() > 1
