Let gateways that may not talk send whole requests to a cold node, in turns

Cause: ColdCare.room gave each gateway borne / gateways units (cold.py, `borne * part`). With 20 heads and more that is less than a request: nobody sends, and the node warms up unused.

Change: until the even part is a quantum (twice the mean request), as many gateways as the sum allows have a quantum each and the others nothing. Who has one goes round by the clock and the node alone, so that no message, and no moment of hearing, matters. The round moves so fast that those new in one window take half of the chance (root of N + 1); the ends of the round are at most a quantum more, within the other half. From a quantum on, and where gateways talk, all is as before.

--- a/marllift/cold.py
+++ b/marllift/cold.py
@@ -2,12 +2,14 @@
 
 All figures are the settings': a node starts at ``cold_share`` of its power and is warm ``warm_after_us``
 later at the latest; ``cold_units`` from all gateways within ``fall_us`` never push it over.  Their even
-part is each one's own.
+part is each one's own.  Where they may not talk, and an even part would be less than a request, whole
+quanta go round among them in turns (docs/fleet.md, "The ramp").
 """
 
 from __future__ import annotations
 
 import struct
+import zlib
 from collections import deque
 
 from . import interface as api
@@ -16,6 +18,7 @@
 WANT, GIFT = struct.Struct("<iQ"), struct.Struct("<iQf")  # shard, start of its node, part given
 WANT_US, LEAST_GIFT = 1_000_000, 0.5  # between two wants, and how long one holds; in equal parts
 ARRIVAL_US = 50_000  # so much later than another may a request come than it was sent
+QUANTUM = 2.0  # requests of mean work that a gateway in its turn may have unserved at a cold node
 FOREVER = float("inf")
 
 
@@ -63,7 +66,7 @@
         borne = told * (1 - 1 / self._set.fall_multiple)
         if node.cold_since <= self._born and start <= self._born:
             return borne, 0.0  # an earlier life of this gateway may have spent its part, or given it
-        part = node.part / lives
+        part = (node.part if self._set.may_tell else self.turn(now, node.id, borne)) / lives
         log = self._unserved.get(node.id, ())
         room = borne * part - sum(units for at, units in log if at >= start)
         if strict:
@@ -71,6 +74,25 @@
             room = min(room, self.told(now, node.cold_since) * part - sent)
         return borne, room
 
+    def turn(self, now: int, node: api.NodeId, borne: float) -> float:
+        """This gateway's part now of the units that a node bears, where the gateways may not talk.
+
+        Each has its even part, once that is a quantum or more.  Before, as many gateways as the sum allows
+        have a quantum each and the others nothing.  Who has one goes round, by the clock and the node alone,
+        so that all see the same round whenever they heard of the start.  In one window so many new ones get
+        a turn that what they send beside those before them takes half of the chance of rule 4 (2 x root of
+        N + 2 requests); the ends of the round, at most one quantum more, fit the other half.
+        """
+        given = self._set
+        root = (given.cold_units / given.mean_units) ** 0.5 + 1
+        quantum = min(QUANTUM, root) * given.mean_units
+        turns = borne / quantum
+        if turns >= given.gateways:
+            return 1 / given.gateways
+        pace = root * given.mean_units / quantum / given.fall_us  # new turns in a microsecond
+        place = (given.me + zlib.crc32(node) - now * pace) % given.gateways
+        return 1 / turns if place < turns else 0.0
+
     def sent(self, now: int, node: NodeBook, units: float) -> None:
         """Units go to a node."""
         if not self._set.fall_us:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -13,6 +14,7 @@
 
 from gaugesail.lab.ramp import Play, Ramp, plays
 from marllift import interface as api
+from marllift.cold import ColdCare
 from marllift.decide import Gateway
 
 SIZES = (5, 20, 30)
@@ -38,6 +40,14 @@
     assert sum(one["arrived"] for one in played) > 400, "sending nothing is no answer"
 
 
+@pytest.mark.parametrize(("heads", "least"), [(5, 0.85), (20, 0.8), (30, 0.8), (200, 0.25)])
+def test_what_a_cold_node_can_do_is_used(heads: int, least: float) -> None:
+    """Of its power since the start.  With even parts alone 20 and 30 heads use about a half, 200 nothing."""
+    played = [Ramp(Play(heads, seed, hear=2.0)).run() for seed in range(3 if heads == 200 else 8)]
+    assert not over(played)
+    assert sum(one["served"] for one in played) > least * sum(one["power"] for one in played)
+
+
 def test_the_same_play_gives_the_same_figures() -> None:
     assert Ramp(short(20, 5)).run() == Ramp(short(20, 5)).run()
 
@@ -97,14 +107,39 @@
 MANY = replace(CROWD, heads=20, slots=40)
 FAULTS = [
     Fault("the part is not divided", MANY, (0, 1), told=lambda given: replace(given, gateways=1, me=0)),
+    Fault("all have their turn at once", replace(MANY, heads=30), (4, 7),
+          told=lambda given: replace(given, me=0)),
     Fault("a cold node counts as warm", MANY, (0, 1), told=lambda given: replace(given, cold_share=1.0)),
     Fault("a new life has its part at once", replace(CROWD, restarts="burst"), (8, 23), old_life),
     Fault("what was sent is not kept", CROWD, (4, 6, 11, 21, 23), forgets),
     Fault("a list that drops the node ends its book", replace(CROWD, flaps=True), (4, 21), drops),
-]
+]  # fmt: skip
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
 def test_the_count_finds_a_planted_fault(fault: Fault) -> None:
     assert replace(fault, change=sound, told=lambda given: given).worst() <= 1
     assert fault.worst() > 1
+
+
+@pytest.mark.parametrize("heads", [1, 2, 5, 20, 30, 200, 1000])
+@pytest.mark.parametrize("units", [0.5, 9.0, 24.0, 60.0])
+def test_the_turns_of_all_gateways_add_up_to_the_whole(heads: int, units: float) -> None:
+    """At each moment, and over the time of the rule with half of the chance and a quantum more."""
+    given = api.Settings(
+        (api.RequestClass("read", 1, 1),), (api.Plan("plan"),), gateways=heads, fall_us=1_500_000,
+        fall_multiple=3.0, cold_share=0.31, warm_after_us=17_000_000, cold_units=units, mean_units=2.05,
+    )  # fmt: skip
+    cares = [ColdCare(replace(given, me=me), 0) for me in range(heads)]
+    rng = random.Random(heads)
+    root = (units / 2.05) ** 0.5 + 1
+    quantum = 2.05 * min(2.0, root)
+    for node in (b"node-0", b"node-1"):
+        borne = units * 2 / 3 * rng.uniform(1, 3)
+        start = rng.randrange(10**15, 2 * 10**15)
+        most = [0.0] * heads
+        for now in range(start, start + given.fall_us, 25_000):
+            parts = [care.turn(now, node, borne) * borne for care in cares]
+            assert sum(parts) <= borne + quantum + 1e-6
+            most = [max(pair) for pair in zip(most, parts, strict=True)]
+        assert sum(most) <= borne + root * 2.05 + quantum + 1e-6
