Count as told at a cold node only what was sent after hearing of that start

Cause: Ramp._send (gaugesail/lab/ramp.py) asked when a request was sent whether its head had heard of the node's start then; one sent to the process before, and arriving after the restart, counted as told at the new one. Heads were not at fault.

--- a/gaugesail/lab/ramp.py
+++ b/gaugesail/lab/ramp.py
@@ -267,14 +267,15 @@
 
     def _send(self, me: int, life: int, send: api.Send) -> None:
         units, sent = self._asked[me, send.request].units, self.now
-        told = self.heard[me] == self.start
-        self.at(self.now + self._wire(), lambda: self._arrive(me, life, send, units, sent, told))
+        heard = self.heard[me]
+        self.at(self.now + self._wire(), lambda: self._arrive(me, life, send, units, sent, heard))
 
-    def _arrive(self, me: int, life: int, send: api.Send, units: float, sent: int, told: bool) -> None:
+    def _arrive(self, me: int, life: int, send: api.Send, units: float, sent: int, heard: int) -> None:
         draw = self.rng.random()
         if draw < self.play.faults / 3:  # it never came
             self._end(me, life, send, api.Result.NO_CONNECTION, sent)
             return
+        told = heard == self.start  # not what went to the process before
         self.counts["arrived"] += told
         self.judges[-1].arrived(self.now, units, told)
         if draw < self.play.faults:
