--- a/marllift/cold.py
+++ b/marllift/cold.py
@@ -2,12 +2,15 @@
 
 All figures are the settings': a node starts at ``cold_share`` of its power and is warm ``warm_after_us``
 later at the latest; ``cold_units`` from all gateways within ``fall_us`` never push it over.  Their even
-part is each one's own.
+part is each one's own.  Where they may not talk, and an even part would be less than a request, whole
+quanta go round among them in turns (docs/fleet.md, "The ramp").
 """
 
 from __future__ import annotations
 
 import struct
+import zlib
+from collections import deque
 
 from . import interface as api
 from .state import NodeBook, Shard
@@ -15,6 +18,7 @@
 WANT, GIFT = struct.Struct("<iQ"), struct.Struct("<iQf")  # shard, start of its node, part given
 WANT_US, LEAST_GIFT = 1_000_000, 0.5  # between two wants, and how long one holds; in equal parts
 ARRIVAL_US = 50_000  # so much later than another may a request come than it was sent
+QUANTUM = 2.0  # requests of mean work that a gateway in its turn may have unserved at a cold node
 FOREVER = float("inf")
 
 
@@ -23,6 +27,9 @@
 
     def __init__(self, settings: api.Settings, born: int) -> None:
         self._set, self._born = settings, born
+        # Units sent by when, less what was served of them: by node and not in its book, as a list that drops
+        # a node for a moment ends the book, and what was sent to the node counts all the same.
+        self._unserved: dict[api.NodeId, deque[tuple[int, float]]] = {}
 
     def settle(self, settings: api.Settings) -> None:
         self._set = settings
@@ -59,24 +66,50 @@
         borne = told * (1 - 1 / self._set.fall_multiple)
         if node.cold_since <= self._born and start <= self._born:
             return borne, 0.0  # an earlier life of this gateway may have spent its part, or given it
-        part = node.part / lives
-        room = borne * part - sum(units for at, units in node.unserved if at >= start)
+        part = (node.part if self._set.may_tell else self.turn(now, node.id, borne)) / lives
+        log = self._unserved.get(node.id, ())
+        room = borne * part - sum(units for at, units in log if at >= start)
         if strict:
-            sent = sum(units for at, units in node.unserved if units > 0 and at >= start - ARRIVAL_US)
+            sent = sum(units for at, units in log if units > 0 and at >= start - ARRIVAL_US)
             room = min(room, self.told(now, node.cold_since) * part - sent)
         return borne, room
 
+    def turn(self, now: int, node: api.NodeId, borne: float) -> float:
+        """This gateway's part now of the units that a node bears, where the gateways may not talk.
+
+        Each has its even part, once that is a quantum or more.  Before, as many gateways as the sum allows
+        have a quantum each and the others nothing.  Who has one goes round, by the clock and the node alone,
+        so that all see the same round whenever they heard of the start.  In one window so many new ones get
+        a turn that what they send beside those before them takes half of the chance of rule 4 (2 x root of
+        N + 2 requests); the ends of the round, at most one quantum more, fit the other half.
+        """
+        given = self._set
+        root = (given.cold_units / given.mean_units) ** 0.5 + 1
+        quantum = min(QUANTUM, root) * given.mean_units
+        turns = borne / quantum
+        if turns >= given.gateways:
+            return 1 / given.gateways
+        pace = root * given.mean_units / quantum / given.fall_us  # new turns in a microsecond
+        place = (given.me + zlib.crc32(node) - now * pace) % given.gateways
+        return 1 / turns if place < turns else 0.0
+
     def sent(self, now: int, node: NodeBook, units: float) -> None:
         """Units go to a node."""
-        if self._set.fall_us:
-            node.unserved.append((now, units))
-            while node.unserved[0][0] < now - self._set.fall_us - ARRIVAL_US:
-                node.unserved.popleft()
+        if not self._set.fall_us:
+            return
+        oldest = now - self._set.fall_us - ARRIVAL_US
+        if (log := self._unserved.get(node.id)) is None:
+            kept = self._unserved.items()
+            self._unserved = {key: old for key, old in kept if max(old)[0] >= oldest}
+            log = self._unserved[node.id] = deque()
+        log.append((now, units))
+        while log[0][0] < oldest:
+            log.popleft()
 
     def served(self, node: NodeBook, sent_at: int, units: float) -> None:
         """It has served units that were sent then."""
-        if self._set.fall_us:
-            node.unserved.append((sent_at, -units))
+        if (log := self._unserved.get(node.id)) is not None:
+            log.append((sent_at, -units))
 
     def give(self, now: int, shard: Shard, node: NodeBook, lives: int) -> api.Tell | None:
         """Give what is not needed here of a cold node to a gateway that wants it; deducted before it is
