--- a/gaugesail/__main__.py
+++ b/gaugesail/__main__.py
@@ -1,12 +1,9 @@
 """Runs one head: by the platform's environment, or by the operator's file that is named."""
 
-import gc
 import sys
 
-gc.disable()  # until the head is up: what is imported stays, and to look through it costs a tenth of a start
-
-from .app import run  # noqa: E402
-from .logs import make_logger  # noqa: E402
+from .app import run
+from .logs import make_logger
 
 
 def main() -> int:
--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -215,7 +215,6 @@
         maybeDeferred(head.start).addErrback(cannot_start)
         gc.collect()
         gc.freeze()
-        gc.enable()
 
     head.stopped.addCallback(lambda _: reactor.callLater(0, reactor.stop))
     reactor.callWhenRunning(up)
