Wait 1.5 s at most before a watch is opened again, not 3 s

Cause: decide.py 125-127 let the wait grow to 2 s times 0.5..1.5. A call that hangs is given up after 2 s (discovery.ANSWER_US), so that 5 s went by between the beginnings of two tries, and 7 s until an answer that may take 2 s.

Ruled out: a bound in discovery.py alone. It would need a draw of its own, as the module's wait is already running then, and a bound with no draw brings all heads back in step; or it would have to call the failures past after each call that hung, which brings a head back each 2.1 to 2.4 s while discovery has too many callers.

Change: doubled up to 4 times, so 0.5 to 1.5 s. A head whose calls hang calls each 3 s on average instead of each 4 s, one whose calls are refused each 1 s instead of each 2 s.

--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -32,7 +32,7 @@
 HOPE = 1.0  # times what a window lets through by a job's aim: more ahead of it, and it is refused early
 STUCK = 2.0  # times its target after which an attempt counts as stuck
 PATIENCE = 4.0  # times its target after which an attempt of a class that is safe to repeat is given up
-WATCH_US = 250_000  # first wait before subscribing again, doubled up to 8 times
+WATCH_US = 250_000  # first wait before subscribing again, doubled up to 4 times
 BELL_PERIOD, BELL_TICK, BELL_WATCH = 1, 2, 3
 RISKY = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # it may have run
 UNENDED = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # it may still be running
@@ -122,7 +122,7 @@
     def _list(self, event: api.NodeList) -> None:
         if event.kind is api.ListKind.FAILED:
             # Rule 3 rests on the subscription: renew it, later each time and never in step with others.
-            wait = WATCH_US << min(self.watch_fails, 3)
+            wait = WATCH_US << min(self.watch_fails, 2)
             self.watch_fails += 1
             self.acts.append(api.SetTimer(self.now + int(wait * (0.5 + self.rng.random())), BELL_WATCH))
             return
