Take only what is complete for a sign of life of discovery

Cause: _Call.dataReceived set heard_us at any byte, so that a head, a line or an object that trickled, or empty lines within an object that was never closed, kept a call for ever (tests: over 100 s, "not given up"). And failures counted on where a good watch had nothing to say: only a list sets the module's count back, so that a watch that fell silent then was opened anew up to 4.5 + 3 s later (8.5 s with the answer's second). And where lists are pushed, each SIGHUP between two calls added a chain of calls to the one that waited (call_ended, call_later).

Ruled out: setting the count back when an answer begins. A discovery that answers and resets at once would be called four times a second by each head.

Change: silence counts from the last complete line or object, or from the call's begin; a call that lasted LONG_US before it failed was wait enough, which the module is told as a list of no changes; the wait of a pushed list's watch is called off when a watch is opened.

--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -20,6 +20,7 @@
 
 PATH = "/catalog/members"
 SILENCE_US = 4_500_000  # an empty line comes every 2 s; two missing ones and the watch is dead
+LONG_US = 2_250_000  # a call that has lasted so long and then fails was wait enough: the next follows soon
 LOOK_US = 20_000  # between looks for silence, at the least
 PUSHED_PART, PUSHED_US = 5, 250_000  # of the time that drains leave: until an agent is asked again; at most
 ANSWER_US = 2_000_000  # until an answer begins: discovery handles calls one after another
@@ -45,7 +46,7 @@
 def read_list(
     data: Any, zones: list[str], kinds: list[str]
 ) -> tuple[int, bool, list[Node], dict[bytes, Line | None]]:
-    """Version, whether whole, the lines for the module and those for the connections, none for what is gone.
+    """Revision, whether complete, lines for the module and for the connections, none for what is gone.
 
     Start times are Unix milliseconds; the clock of the head counts Unix microseconds, so 0 stays 0.
     """
@@ -87,14 +88,12 @@
         self._object = bytearray()  # lines of one that has begun, as lists may come indented
         self._depth = 0  # of what is open in it
         self.ended = self.answered = False
-        self.heard_us = 0
+        self.begun_us = self.heard_us = 0  # begun at; the last complete line, or the beginning
 
     @property
     def due_us(self) -> int:
-        """When it counts as silent."""
-        if self.follow and self.answered:
-            return self.heard_us + SILENCE_US
-        return self.heard_us + self._owner.answer_us
+        """When it counts as silent.  Pieces of a line or an object say nothing: they may trickle for ever."""
+        return self.heard_us + (SILENCE_US if self.answered else self._owner.answer_us)
 
     def connectionMade(self) -> None:
         host = self._owner.host
@@ -107,7 +106,7 @@
     def dataReceived(self, data: bytes) -> None:
         if self.ended:
             return
-        self.heard_us, self.answered = self._owner.now(), True
+        self.answered = True
         self._parser.feed(data)
         try:
             for part in self._parser.parts():
@@ -134,6 +133,8 @@
             line = bytes(self._text[:at]).strip()
             del self._text[: at + 1]
             if not line:
+                if not self._object:
+                    self.heard_us = self._owner.now()
                 continue
             self._object += line
             if len(self._object) > MAX_LINE:
@@ -142,8 +143,9 @@
             bare = _STRING.sub(b"", line)
             self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
             if self._depth <= 0:
-                whole, self._object, self._depth = bytes(self._object), bytearray(), 0
-                self._owner.heard(json.loads(whole))
+                complete, self._object, self._depth = bytes(self._object), bytearray(), 0
+                self.heard_us = self._owner.now()
+                self._owner.heard(json.loads(complete))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.end("connection lost")
@@ -191,6 +193,7 @@
         self._watching: _Call | None = None
         self._wanted = False  # the module wants a watch, though it may be between two
         self._check: Call | None = None
+        self._retry: Call | None = None  # of a pushed list's watch
         self._closed = False
 
     @property
@@ -228,6 +231,9 @@
 
     def watch(self, on: bool) -> None:
         self._wanted = on
+        if self._retry is not None and self._retry.active():
+            self._retry.cancel()
+        self._retry = None
         if self._closed:
             return
         if on and self._watching is None:  # a move may have been first: a second watch would be one too many
@@ -266,7 +272,7 @@
 
     def _call(self, target: str, follow: bool) -> _Call:
         call = _Call(self, target, follow)
-        call.heard_us = self.now()
+        call.begun_us = call.heard_us = self.now()
         self._calls.add(call)
         made = dial(self._reactor, self._address, CONNECT_S, lambda: call)
         self._dials.add(made)
@@ -316,8 +322,10 @@
         if why and not self._closed:
             self._log.warning("discovery_failed", why=why, watch=call.follow)
             if self._pushed and call.follow:
-                self._clock.call_later(self._again_us, lambda: self.watch(self._wanted))
+                self._retry = self._clock.call_later(self._again_us, lambda: self.watch(self._wanted))
             else:
+                if self.now() - call.begun_us >= LONG_US:
+                    self._tell(NodeList(ListKind.CHANGES, ()))  # counts failures from the first again
                 self._tell(NodeList(ListKind.FAILED))
 
     def close(self) -> None:
