Read the revisions of a watch in its own order, and a last line that has no end

Cause: heard() dropped each change whose revision was below ours. A discovery that has lost its revisions and gives changes alone was not heard until it had caught up: a drain at its revision 2 never counted at 40. It took each full list, however old: one that the watch had overtaken brought back a node that drains. And an indented answer whose last line has no end was read from that line alone (dataReceived, End), and lost each time.

Ruled out: asking for the full list at each new watch; it is 200 lines for each head at each reset.

Change: a call knows the revision that its next object follows on. Below that on a watch, discovery counts anew: the change counts and the full list is asked for. At or above it, and below ours, another call was first: it is dropped, full or not. At the end of a watch its last line ends.

--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -83,6 +83,7 @@
 
     def __init__(self, owner: DiscoveryClient, target: str, follow: bool) -> None:
         self._owner, self._target, self.follow = owner, target, follow
+        self.since = 0  # the revision that the next object of this watch follows on
         self._parser = Parser(answers=True, max_body=None)
         self._text = bytearray()
         self._object = bytearray()  # lines of one that has begun, as lists may come indented
@@ -121,7 +122,10 @@
                     if self.follow:
                         self._lines()
                 else:
-                    if self._text.strip():
+                    if self.follow:
+                        self._text += b"\n"  # its last line may have no end
+                        self._lines()
+                    elif self._text.strip():
                         self._owner.heard(json.loads(self._text))
                     self.end("ended" if self.follow else "")
                     return
@@ -145,7 +149,7 @@
             if self._depth <= 0:
                 complete, self._object, self._depth = bytes(self._object), bytearray(), 0
                 self.heard_us = self._owner.now()
-                self._owner.heard(json.loads(complete))
+                self.since = self._owner.heard(json.loads(complete), self.since)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.end("connection lost")
@@ -273,6 +277,7 @@
     def _call(self, target: str, follow: bool) -> _Call:
         call = _Call(self, target, follow)
         call.begun_us = call.heard_us = self.now()
+        call.since = self._version if follow else 0
         self._calls.add(call)
         made = dial(self._reactor, self._address, CONNECT_S, lambda: call)
         self._dials.add(made)
@@ -305,15 +310,22 @@
     def answered(self, follow: bool) -> None:
         self.up = self.up or (follow and not self._pushed)
 
-    def heard(self, data: Any) -> None:
+    def heard(self, data: Any, since: int = 0) -> int:
+        """Take a list, or what has changed after ``since``; its revision."""
         version, full, nodes, lines = read_list(data, self._zones, self._kinds)
         self.up = True
-        if not full and version < self._version:
-            return  # an old change, from a call that overlapped the watch
-        self._version = version
+        if since <= version < self._version:
+            return version  # another call overtook this one
+        # A watch comes in order.  Where its revision goes back, discovery has lost its own and counts anew:
+        # the change counts, and what changed before it is not known.
+        anew = version < since and not full
+        self._version = 0 if anew else version
         self._remember(data, full)
         self._listed(lines, full)
         self._tell(NodeList(ListKind.FULL if full else ListKind.CHANGES, tuple(nodes)))
+        if anew:
+            raise BadList("its revisions begin anew: the full list is asked for")
+        return version
 
     def call_ended(self, call: _Call, why: str) -> None:
         self._calls.discard(call)
