--- a/tests/test_rare_lists.py
+++ b/tests/test_rare_lists.py
@@ -248,7 +248,7 @@
         again = rig.watched()
         again.send(HEAD + rig.drain(rig.bricks[0], 2))
         rig.turn(2)
-        assert rig.now - back < 1.0 and not served(rig, "after")
+        assert rig.now - back < 0.5 and not served(rig, "after")
 
 
 def test_an_agent_that_is_silent_keeps_a_head_from_serving_for_a_few_seconds_at_most() -> None:
