--- a/gaugesail/cli.py
+++ b/gaugesail/cli.py
@@ -41,7 +41,7 @@
 
 @click.group(cls=LazyGroup, lazy={
     "budgets": "gaugesail.measure.budgets:command", "fleet-cost": "gaugesail.measure.fleet_cost:command",
-    "storm": "gaugesail.measure.storm:command",
+    "ramp": "gaugesail.measure.ramp:command", "storm": "gaugesail.measure.storm:command",
 })  # fmt: skip
 def measure() -> None:
     """Measure what the head does, in virtual time or against a baseline in the same run."""
