Hold one gateway to its turn at a cold node, where the even part is under a quantum

For the lead to read and take, or not: the check of rule 4 in tests/driver.py held one gateway to the even part, which is wrong since whole quanta go round in turns (the rule is about the sum of all gateways). Where gateways may not talk and the even part is under a quantum, it now asks that the gateway has its turn at that moment, by the driver's own reckoning, and has no more than the quantum unserved; else it is as it was. The choice "or all that was sent is within the part" is gone there, so that it is stricter in that.

--- a/tests/driver.py
+++ b/tests/driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import defaultdict, deque
 from collections.abc import Iterable
 from typing import Any
@@ -241,6 +242,12 @@
             )
             spare = part * (1 - 1 / self.given.fall_multiple)
             kept = sent_units <= part + 1e-6 or idle <= spare + 1e-6
+            root = (self.given.cold_units / self.given.mean_units) ** 0.5 + 1
+            quantum = min(2.0, root) * self.given.mean_units
+            if not self.given.may_tell and spare < quantum:  # docs/fleet.md, "The ramp"
+                pace = root * self.given.mean_units / quantum / self.given.fall_us
+                place = (self.given.me + zlib.crc32(action.node) - self.now * pace) % self.given.gateways
+                kept = place < spare * self.given.gateways / quantum and idle <= quantum + 1e-6
             assert kept, "rule 4: a cold node gets more than it bears beyond what it serves"
         self.out[(number, self.tries[number])] = (action.node, self.now)
         self.tries[number] += 1
