--- a/tests/test_early_leavers.py
+++ b/tests/test_early_leavers.py
@@ -35,8 +35,8 @@
     assert asked not in rig.gateway.jobs
 
 
-def ask(number: int, give_up: int, **more: int) -> api.Request:
-    return api.Request(number, 0, give_up, 0, volume=7, key=9, **more)
+def ask(number: int, give_up: int, units: float = 1.0) -> api.Request:
+    return api.Request(number, 0, give_up, 0, units=units, volume=7, key=9)
 
 
 def test_where_clients_do_not_mark_a_repeat_is_what_was_asked_for_within_its_time() -> None:
