--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import select
 import socket
 import struct
@@ -14,6 +15,9 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
+from .core.ports import Clock
+
+LOOK_US = 40_000  # a look at the sockets that is older is taken again, at the one that matters
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -21,11 +25,18 @@
     """A protocol whose transport is read as ``link``: Twisted's zope interfaces say nothing to mypy."""
 
     lost = False
+    heard_us = 0  # when the latest bytes came, where that is kept
 
     @property
     def link(self) -> Any:
         return self.transport
 
+    def stale(self, clock: Clock) -> bool:
+        """What it has sent may lie unread: something came in the latest look itself, so that more may be
+        behind, or that look was long ago, as the loop is busy with others."""
+        polled = clock.polled_us
+        return self.heard_us >= polled or clock.now_us() - polled > LOOK_US
+
     def gone(self, behind: bool) -> bool:
         """The other side has gone.  Reading tells so; where its end may lie behind what is not read, the
         socket is asked."""
@@ -45,6 +56,12 @@
         return self._build()
 
 
+def descriptors(told: int) -> int:
+    """How many descriptors this process may have: as it was told, but no more than the system gives."""
+    given, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if given == resource.RLIM_INFINITY else min(told, given)
+
+
 def bound_accepts(port: Any, room: Callable[[], int]) -> None:
     """Let a listening port accept no more at once than there is room for.
 
@@ -89,6 +106,23 @@
     return next((found for _, found in look.poll(0)), 0)
 
 
+def send_now(link: Any, data: bytes) -> bool:
+    """Write, and send at once as much as the system takes; whether that is all.
+
+    Twisted sends at the end of a turn, which may last: what was looked at before the first byte, that its
+    client is there, say, would be old by then.  Where something has come unread, the other side's end, say,
+    that is read first, as Twisted would.
+    """
+    connection = getattr(link, "socket", None)
+    plain = isinstance(connection, socket.socket) and not (link.dataBuffer or link._tempDataLen)
+    if connection is not None and plain and not unread(link):
+        with suppress(OSError):  # full, or broken: what is left is written the usual way, which tells
+            data = data[connection.send(data) :]
+    if data:
+        link.write(data)
+    return not data
+
+
 def abort(link: Any) -> None:
     """End a connection in this call: Twisted closes it a turn later, and what is written before that, to
     another node, say, would be beside what this one carries."""
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -32,9 +32,10 @@
 HOPE = 1.0  # times what a window lets through by a job's aim: more ahead of it, and it is refused early
 STUCK = 2.0  # times its target after which an attempt counts as stuck
 PATIENCE = 4.0  # times its target after which an attempt of a class that is safe to repeat is given up
-WATCH_US = 250_000  # first wait before subscribing again, doubled up to 8 times
+WATCH_US = 250_000  # first wait before subscribing again, doubled up to 4 times
 BELL_PERIOD, BELL_TICK, BELL_WATCH = 1, 2, 3
 RISKY = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # it may have run
+BROKEN = (*RISKY, Result.NO_CONNECTION)  # it may be the fault of one connection alone
 UNENDED = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # it may still be running
 
 
@@ -122,7 +123,7 @@
     def _list(self, event: api.NodeList) -> None:
         if event.kind is api.ListKind.FAILED:
             # Rule 3 rests on the subscription: renew it, later each time and never in step with others.
-            wait = WATCH_US << min(self.watch_fails, 3)
+            wait = WATCH_US << min(self.watch_fails, 2)
             self.watch_fails += 1
             self.acts.append(api.SetTimer(self.now + int(wait * (0.5 + self.rng.random())), BELL_WATCH))
             return
@@ -210,7 +211,7 @@
         volume = self._volume(event, terms)
         # A client's repeat has less time than its class, and part of its aim is gone.  Past its aim a request
         # earns next to nothing and delays the rest: there it ends.
-        first = min(now, event.give_up_us - spec.deadline_us)
+        first = self.recovery.first_asked(now, event, kind, event.give_up_us - spec.deadline_us)
         aim_at = min(first + spec.aim_us, event.give_up_us - 2 * self.tick)
         chain = self.chains.setdefault(event.key, Chain()) if spec.ordered and event.key else None
         number = self._place_new(kind) if (movable := event.shard < 0) else event.shard
@@ -313,21 +314,24 @@
             return
         self.dirty[node.shard] = self.shards[node.shard]
         job.out, chain, result = False, job.chain, event.result
-        if self.recovery.outcome(self.now, job, result):
+        # The node served what was sent later: this one was lost by itself, say with its connection.  Or its
+        # client left it hardly more time than the node takes for others.
+        short = result is Result.TIMEOUT and event.elapsed_us < STUCK * node.latency[job.kind]
+        blameless = short or (result in BROKEN and job.sent_at < node.lived)
+        if self.recovery.outcome(self.now, job, result, blameless):
             node.windows = [COLD_WINDOW] * TIERS
         node.used[job.kind] -= 1
         # Under one request out in the mean: one, and then a gap (Little's law).
         node.rest = [self.now + int(event.elapsed_us * max(0.0, 1 / w - 1)) for w in node.windows]
-        if result in (Result.SERVED, Result.TIMEOUT):  # what is overdue took at least so long
+        # What is overdue took at least so long.
+        if result is Result.SERVED or (result is Result.TIMEOUT and not short):
             node.sums[job.kind] += event.elapsed_us
             node.counts[job.kind] += 1
         if result is Result.SERVED:
             node.misses, node.lived = 0, max(node.lived, job.sent_at)
             self.cold.served(node, job.sent_at, job.units)
             job.volume.reserve -= event.others_units
-        elif result in RISKY and job.sent_at < node.lived:
-            pass  # the node served what was sent later: this one was lost by itself, say with its connection
-        elif result not in (Result.MOOT, Result.CANCELLED):
+        elif not blameless and result not in (Result.MOOT, Result.CANCELLED):
             # A connection that broke is mostly the connection's fault, a second one in a row the node's.
             broke = result is Result.RESET and not node.misses
             node.misses += 0.5 if broke else 1
@@ -475,9 +479,9 @@
             self.ticking = False
             for number, shard in list(self.shards.items()):
                 for job in [job for waiting in shard.waiting for job in waiting]:
-                    barred = shard.away and not job.movable
-                    if barred or self.now >= job.aim_at or (job.attempts and not self._may_repeat(job)):
-                        self._end(job, "away" if barred else "aim" if self.now >= job.aim_at else "no_repeat")
+                    barred, late = shard.away and not job.movable, self.now >= job.begin_by
+                    if barred or late or (job.attempts and not self._may_repeat(job)):
+                        self._end(job, "away" if barred else "aim" if late else "no_repeat")
                     elif job.movable and job.risky_at is None and shard.node is None:
                         shard.waiting[job.kind].remove(job)
                         job.shard = self._place_new(job.kind)
--- a/tests/test_rare_clients.py
+++ b/tests/test_rare_clients.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import pytest
 
-from .turned import End, HeldDials, Turned, turned
+from gaugesail import net
+from gaugesail.core.engine import _DEADLINE
+from gaugesail.http import bricks
+
+from .turned import STEP_S, Busy, End, HeldDials, Turned, chunk, turned
 
 Way = Callable[[Turned, End], None]
 BOUND_S = 0.3  # the outer bound of the operators
@@ -259,3 +265,360 @@
         rig.pass_time(1.0)
         assert rig.head.engine.open_requests <= 4
         assert rig.head.front.connections <= 4
+
+
+def warm(rig: Turned, connections: int) -> None:
+    """So many connections to the first brick have rested and can be used at once."""
+    names = [f"warm{n}" for n in range(connections)]
+    for name in names:
+        rig.client().send(rig.ask(name))
+    for name in names:
+        rig.bricks[0].request(name)
+    for name in names:
+        rig.bricks[0].answer(name)
+    rig.pass_time(0.05)
+
+
+def with_its_end(rig: Turned, client: End, way: Way) -> None:
+    """Its request and its end are in the kernel when the head looks."""
+    client.send(rig.ask("left"))
+    way(rig, client)
+
+
+AT_ONCE = pytest.mark.parametrize("way", [fin, half, rst], ids=lambda way: way.__name__)
+
+
+@AT_ONCE
+def test_found_with_its_end_in_the_turn_of_an_outcome(way: Way) -> None:
+    """The outcome makes the module's next turn due: the request waits for a look of its own all the same."""
+    with turned() as rig:
+        warm(rig, 2)
+        brick, client = rig.bricks[0], rig.client()
+        rig.client().send(rig.ask("first"))
+        brick.request("first")
+        rig.turn(2)
+        brick.answer("first")
+        with_its_end(rig, client, way)
+        rig.pass_time(0.3)
+        assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_found_with_its_end_as_a_deadline_runs_the_module(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 2)
+        client, engine = rig.client(), rig.head.engine
+        rig.turn(2)
+        with_its_end(rig, client, way)
+        rig.turn()
+        engine._at(rig.clock.now_us() + 1, _DEADLINE, 0)  # as of a request that has its answer
+        rig.leap(0.001)
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+
+
+@AT_ONCE
+def test_found_with_its_end_as_a_list_runs_the_module(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 1)
+        client = rig.client()
+        rig.turn(2)
+        with_its_end(rig, client, way)
+        rig.watch.send(rig.told(False, rig.bricks, 2))
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+
+
+@AT_ONCE
+def test_found_with_its_end_behind_a_further_request_as_its_slot_is_free(way: Way) -> None:
+    with turned() as rig:
+        fill(rig)
+        brick, client = rig.bricks[0], rig.client()
+        client.send(rig.ask("left"))
+        rig.pass_time(0.01)
+        brick.answer("fill0")
+        client.send(rig.ask("behind"))
+        way(rig, client)
+        rig.turn()
+        rig.leap(0.006)  # the connection has rested
+        rig.pass_time(0.3)
+        assert not brick.saw("left")
+
+
+def step(rig: Turned, turns: int) -> None:
+    """Turns that take a little time each."""
+    for _ in range(turns):
+        rig.turn()
+        rig.leap(0.001)
+
+
+def test_a_request_whose_client_stays_costs_no_call_to_the_system(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The look that it waits for serves all: no socket is asked for one request alone."""
+    asked: list[Any] = []
+    plain = net.hung_up
+    monkeypatch.setattr(net, "hung_up", lambda link: (asked.append(link), plain(link))[1])  # type: ignore[func-returns-value]
+    with turned() as rig:
+        warm(rig, 3)
+        brick, clients = rig.bricks[0], [rig.client() for _ in range(3)]
+        for n in range(30):
+            clients[n % 3].send(rig.ask(f"stays{n}"))
+            brick.request(f"stays{n}")
+            brick.answer(f"stays{n}")
+            clients[n % 3].take(b"\r\n\r\nok")
+        assert not asked
+
+
+def busy_as(rig: Turned, neighbour: End, meanwhile: Callable[[], None]) -> None:
+    """The loop handles what this neighbour sent for 0.15 s; what comes meanwhile is in the kernel alone."""
+    port = neighbour.sock.getsockname()[1]
+    connection = next(c for c in rig.head.front._open if c.link.getPeer().port == port)
+    handle = connection.dataReceived
+
+    def slowly(data: bytes) -> None:
+        connection.dataReceived = handle
+        meanwhile()
+        rig.leap(0.15)
+        handle(data)
+
+    connection.dataReceived = slowly
+    neighbour.send(b"GET /_health HTTP/1.1\r\n")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_slot_is_free(way: Way) -> None:
+    with turned() as rig:
+        fill(rig)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        client.send(rig.ask("left"))
+        rig.pass_time(0.01)
+        brick.answer("fill0")
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(0.3)
+        assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_further_attempt(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 2)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        client.send(rig.ask("left"))
+        end = brick.request("left")
+        end.text = b""
+        end.send(b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+        rig.turn(3)
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(1.0)
+        assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_connection_is_up(way: Way) -> None:
+    with turned() as rig:
+        client, neighbour = rig.client(), rig.client()
+        rig.turn(2)
+        client.send(rig.ask("left"))
+        step(rig, 3)
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(0.3)
+        assert not rig.bricks[0].saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_its_shard_is_back(way: Way) -> None:
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        rig.watch.send(rig.drain(brick, 2))
+        rig.turn(3)
+        client.send(rig.ask("left"))
+        step(rig, 3)
+        brick.phase = "Ready"
+        rig.watch.send(rig.told(False, [brick], 3))
+        step(rig, 1)
+        busy_as(rig, neighbour, lambda: way(rig, client))
+        rig.pass_time(0.4)
+        assert not brick.saw("left")
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_between_the_last_look_and_the_first_byte(way: Way) -> None:
+    """What the look found is true of the bytes only if these leave at once, not at the end of a long turn."""
+    with turned() as rig:
+        warm(rig, 2)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        rig.turn(2)
+        client.send(rig.ask("left"))
+        step(rig, 2)
+        seen: list[int] = []
+
+        def leave() -> None:
+            seen.append(brick.saw("left"))
+            way(rig, client)
+
+        busy_as(rig, neighbour, leave)
+        rig.pass_time(0.3)
+        assert seen and brick.saw("left") == seen[0]
+
+
+@AT_ONCE
+def test_leaves_as_the_loop_is_busy_with_another_before_the_end_of_its_large_body(way: Way) -> None:
+    """It is with its brick, all but the end, and waits for a slot."""
+    with turned() as rig:
+        fill(rig)
+        brick, client, neighbour = rig.bricks[0], rig.client(), rig.client()
+        body = b"b" * 200_000
+        client.send(rig.ask("large", "write", body=body))
+        assert rig.until(lambda: brick.look().count(b"b") >= 199_999)
+        rig.pass_time(0.05)
+        brick.answer("fill0")
+        seen: list[int] = []
+
+        def leave() -> None:
+            seen.append(brick.look().count(b"b"))
+            way(rig, client)
+
+        rig.turn()
+        busy_as(rig, neighbour, leave)
+        rig.pass_time(0.3)
+        assert seen and brick.look().count(b"b") == seen[0]
+
+
+@pytest.mark.parametrize("end", [fin, rst], ids=lambda end: end.__name__)
+def test_what_leaves_at_once_is_not_sent_into_a_connection_that_its_brick_has_closed(end: Way) -> None:
+    """The brick's end is in the kernel as the connection is taken: it is read first, and nothing was sent."""
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client = rig.bricks[0], rig.client()
+        rig.turn(2)
+        client.send(rig.ask("stays", "write", body=b"b"))
+        step(rig, 2)
+        end(rig, brick.ends[0])
+        rig.pass_time(0.1)
+        assert brick.saw("stays") == 1 and not rig.head.engine.counts["attempt_reset"]
+        brick.answer("stays")
+        client.take(b"\r\n\r\nok")
+
+
+def test_a_request_larger_than_the_system_takes_at_once_comes_whole() -> None:
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client, body = rig.bricks[0], rig.client(), bytes(range(256)) * 255
+        brick.ends[0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        inside = next(iter(next(iter(rig.head.transport._bricks.values())).idle))
+        inside.link.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(rig.ask("large", "write", body=body))
+        rig.pass_time(0.02)
+        assert not inside.written, "all has left at once: the test forces nothing"
+        assert rig.until(lambda: body in brick.look()) and rig.until(lambda: inside.written)
+        brick.answer("large")
+        client.take(b"\r\n\r\nok")
+
+
+@AT_ONCE
+def test_leaves_as_many_are_sent_in_one_turn_of_the_module(way: Way, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the module says at once is carried out one by one: each has its own last look."""
+    with turned() as rig:
+        warm(rig, 4)
+        brick, clients, sent = rig.bricks[0], [rig.client() for _ in range(3)], list[bytes]()
+        rig.turn(2)
+        plain = net.send_now
+
+        def slowly(link: Any, data: bytes) -> bool:
+            whole = plain(link, data)
+            sent.append(data)
+            if len(sent) == 1:
+                for client in clients[1:]:
+                    way(rig, client)
+                rig.leap(0.15)
+            return whole
+
+        monkeypatch.setattr(bricks, "send_now", slowly)
+        for n, client in enumerate(clients):
+            client.send(rig.ask(f"many{n}"))
+        rig.pass_time(0.3)
+        assert [brick.saw(f"many{n}") for n in range(3)] == [1, 0, 0] and len(sent) == 1
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize("sockets", ["1024", "72"])
+def test_under_load_no_attempt_begins_long_after_its_client_has_left(
+    sockets: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A flood of clients, of which many leave, and some that send megabytes, with places for all or not.
+    Turns of the loop last far longer than the bound; a close counts from the latest look before it."""
+    rig, longest = Busy(0.25, limits__sockets=sockets).start(), [0.0]
+    began: dict[str, int] = {}
+    left: dict[str, int] = {}
+    calm: dict[str, End] = {}
+    plain, flood = net.send_now, 40
+    health, chance = b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n" * 1700, Random(3)
+
+    def sent(link: Any, data: bytes) -> bool:
+        whole, name = plain(link, data), data.partition(b"Request-Id: ")[2].partition(b"\r\n")[0].decode()
+        began.setdefault(name, rig.clock.now_us())
+        return whole
+
+    monkeypatch.setattr(bricks, "send_now", sent)
+    loud, served, number = [rig.client() for _ in range(4)], 0, 0
+    try:
+        until = rig.now + 8.0
+        while rig.now < until:
+            while len(calm) < flood:
+                number += 1
+                calm[f"r{number}"] = client = rig.client()
+                client.send(rig.ask(f"r{number}"))
+            start = rig.now
+            rig.turn()
+            longest.append(rig.now - start)
+            rig.now += STEP_S
+            if not rig.watch.gone() and len(longest) % 5 == 0:
+                rig.watch.send(chunk(b"\n"))
+            rig.bricks[0].look()
+            for end in rig.bricks[0].ends:
+                if end.text and not end.ended:
+                    end.text = b""
+                    end.cram(OK)
+            for client in loud:
+                client.read()
+                client.text = b""
+                if not client.ended:
+                    client.cram(health)
+            for name, client in list(calm.items()):
+                if client.gone() or client.text:
+                    served += b" 200 " in client.text
+                    del calm[name]
+                elif chance.random() < 0.1:
+                    if name not in began:
+                        left[name] = rig.clock.polled_us
+                    chance.choice([client.fin, client.rst])()
+                    del calm[name]
+    finally:
+        rig.close()
+    late = max([began[name] - at for name, at in left.items() if name in began], default=0)
+    print(f"turns up to {max(longest):.3f} s, {len(left)} left, {served} served, {late / 1e6:.3f} s at most")
+    assert max(longest) > 0.1 and len(left) > 30 and served > 5, "too little load: nothing is forced"
+    assert late < 100_000
+
+
+@pytest.mark.parametrize("way", [fin, half, rst], ids=lambda way: way.__name__)
+def test_leaves_while_its_request_is_still_being_written(way: Way) -> None:
+    """A node counts an attempt from its last byte: what is not with it by then does not go on."""
+    with turned() as rig:
+        warm(rig, 1)
+        brick, client, body = rig.bricks[0], rig.client(), b"b" * 65_000
+        brick.ends[0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        inside = next(iter(next(iter(rig.head.transport._bricks.values())).idle))
+        inside.link.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(rig.ask("left", "write", body=body))
+        rig.pass_time(0.02)
+        assert not inside.written, "all has left at once: the test forces nothing"
+        way(rig, client)
+        rig.pass_time(0.1)
+        assert rig.until(lambda: brick.ends[0].gone() or body in brick.look(), 1.0)
+        assert body not in brick.look() and rig.head.engine.counts["attempt_moot"] == 1
+        again = rig.client()  # its id and its slot are free again
+        again.send(rig.ask("left"))
+        brick.request("left")
