--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -120,7 +120,7 @@
         self._feed(
             api.Request(
                 ticket, order.kind, entry.give_up_us, order.shard, order.plan, order.units, order.key,
-                order.volume, order.mounts, order.again, order.terms,
+                order.volume, order.mounts, order.again, order.terms, now,
             )
         )  # fmt: skip
         return ticket
--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -200,6 +200,7 @@
 
     def _request(self, event: api.Request) -> None:
         terms, now = event.terms or self.set, self.now
+        came = event.came_us or now
         spec = terms.classes[event.kind]
         kind = self.places[spec.name]
         if event.shard >= 0 and event.shard not in self.shards:
@@ -211,12 +212,12 @@
         volume = self._volume(event, terms)
         # A client's repeat has less time than its class, and part of its aim is gone.  Past its aim a request
         # earns next to nothing and delays the rest: there it ends.
-        first = self.recovery.first_asked(now, event, kind, event.give_up_us - spec.deadline_us)
+        first = self.recovery.first_asked(came, event, kind, event.give_up_us - spec.deadline_us)
         aim_at = min(first + spec.aim_us, event.give_up_us - 2 * self.tick)
         chain = self.chains.setdefault(event.key, Chain()) if spec.ordered and event.key else None
         number = self._place_new(kind) if (movable := event.shard < 0) else event.shard
         job = Job(event.request, kind, spec, volume, number, movable, event.units,
-                  now, aim_at, event.give_up_us, chain, terms.max_attempts)  # fmt: skip
+                  came, aim_at, event.give_up_us, chain, terms.max_attempts)  # fmt: skip
         self.jobs[job.id] = job
         if chain is not None:
             chain.jobs.append(job)
--- a/marllift/interface.py
+++ b/marllift/interface.py
@@ -210,6 +210,7 @@
     mounts: float = 1.0  # gateways the volume's requests can come through
     again: bool = False  # marked by the client as a repeat
     terms: Settings | None = None  # what it was taken under, where that may be older than the latest
+    came_us: int = 0  # when its time began to run, where that may be before it is told; 0: it is told at once
 
 
 @dataclass(slots=True, frozen=True)
--- a/marllift/recovery.py
+++ b/marllift/recovery.py
@@ -215,22 +215,23 @@
     def _repeats(self, request: api.Request, ticket: Ticket | None) -> bool:
         return request.again if self._set.clients_mark else ticket is not None
 
-    def first_asked(self, now: int, request: api.Request, kind: int, earliest: int) -> int:
-        """When the client of a request first asked for it, in microseconds, as far as that can be told.
+    def first_asked(self, came: int, request: api.Request, kind: int, earliest: int) -> int:
+        """When the client of a request that ``came`` then first asked for it, in microseconds, as far as that
+        can be told.
 
         A repeat has what is left of its class's time: it first asked that time before it gives up, which is
         ``earliest``.  Who asks for the first time with less gives up early, and has waited for nothing yet.
         Where clients do not mark repeats, one is what was asked for before, within its class's time.
         """
         if self._set.clients_mark:
-            return min(now, earliest) if request.again else now
+            return min(came, earliest) if request.again else came
         mark = self.repeats.mark(request, kind)
         asked_at = self._asked.pop(mark, None)
-        again = earliest < now and asked_at is not None and asked_at >= earliest - ASKED_SLACK_US
-        self._asked[mark] = now if asked_at is None or not again else asked_at
+        again = earliest < came and asked_at is not None and asked_at >= earliest - ASKED_SLACK_US
+        self._asked[mark] = came if asked_at is None or not again else asked_at
         if len(self._asked) > MOST_ASKED:
             del self._asked[next(iter(self._asked))]
-        return earliest if again else now
+        return earliest if again else came
 
     def arrived(self, now: int, job: Job, request: api.Request) -> None:
         """How a request stands in the line of its shard."""
