Say once in the tests what is served now; take back a split that nothing shares

A re-read of the change. served() stood word for word in test_rare_lists and test_told: it is in turned.py now.

--- a/marllift/recovery.py
+++ b/marllift/recovery.py
@@ -212,9 +212,6 @@
 
     # ---- requests ----
 
-    def _repeats(self, request: api.Request, ticket: Ticket | None) -> bool:
-        return request.again if self._set.clients_mark else ticket is not None
-
     def first_asked(self, came: int, request: api.Request, kind: int, earliest: int) -> int:
         """When the client of a request that ``came`` then first asked for it, in microseconds, as far as that
         can be told.
@@ -243,7 +240,7 @@
             job.hung = ticket.hung
         if (line := self.lines.get(job.shard)) is None:
             return
-        if not self._repeats(request, ticket):
+        if not (request.again if self._set.clients_mark else ticket is not None):
             line.came += job.units
             return
         if line.storm is not None:
--- a/tests/test_rare_lists.py
+++ b/tests/test_rare_lists.py
@@ -9,7 +9,7 @@
 from gaugesail import config as configuration
 from gaugesail.http import discovery
 
-from .turned import HEAD, End, HeldDials, Place, Turned, chunk, turned
+from .turned import HEAD, End, HeldDials, Place, Turned, chunk, served, turned
 
 TOLD_S = 6.0  # after a watch fell silent all that it missed counts as told
 PUSHED = {"settings__discovery": "push"}
@@ -21,18 +21,6 @@
     rig.until(lambda: rig.now >= end, seconds + 1)
 
 
-def served(rig: Turned, name: str) -> bool:
-    """Whether a new request is sent to the brick now."""
-    client = rig.client()
-    client.send(rig.ask(name))
-    rig.until(lambda: bool(rig.bricks[0].saw(name)) or bool(client.read()), 1.0)
-    if rig.bricks[0].saw(name):
-        rig.bricks[0].answer(name)
-        client.take(b"\r\n\r\nok")
-        return True
-    return False
-
-
 def missed(rig: Turned, began: float) -> None:
     """A drain that only a new watch tells is kept in time."""
     again = rig.watched()
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -27,7 +27,7 @@
 from marllift.decide import Gateway
 
 from .driver import settings as driver_settings
-from .turned import HEAD, End, Place, Turned, chunk, turned
+from .turned import HEAD, End, Place, Turned, chunk, served, turned
 
 TOLD_S = 6.0
 ANSWER_S = 2.0  # that a call may wait until its answer begins
@@ -60,17 +60,6 @@
     return rig.until(done, seconds)
 
 
-def served(rig: Turned, name: str) -> bool:
-    client = rig.client()
-    client.send(rig.ask(name))
-    rig.until(lambda: bool(rig.bricks[0].saw(name)) or bool(client.read()), 1.0)
-    if rig.bricks[0].saw(name):
-        rig.bricks[0].answer(name)
-        client.take(b"\r\n\r\nok")
-        return True
-    return False
-
-
 def told_by(rig: Turned, again: End, reachable: float, answer: float) -> None:
     """The call is answered after so long, with a drain, and that is in time."""
     wait(rig, answer)
--- a/tests/turned.py
+++ b/tests/turned.py
@@ -301,6 +301,18 @@
         rig.close()
 
 
+def served(rig: Turned, name: str) -> bool:
+    """Whether a new request is sent to the brick now."""
+    client = rig.client()
+    client.send(rig.ask(name))
+    rig.until(lambda: bool(rig.bricks[0].saw(name)) or bool(client.read()), 1.0)
+    if rig.bricks[0].saw(name):
+        rig.bricks[0].answer(name)
+        client.take(b"\r\n\r\nok")
+        return True
+    return False
+
+
 class HeldDials:
     """Connections to bricks come up when the test lets them."""
 
@@ -326,4 +338,4 @@
         self.held = []
 
 
-__all__ = ["HEAD", "Brick", "End", "HeldDials", "Place", "Turned", "Turning", "chunk", "turned"]
+__all__ = ["HEAD", "Brick", "End", "HeldDials", "Place", "Turned", "Turning", "chunk", "served", "turned"]
