--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,86 @@
+"""KNOWN-RED.txt: tests that fail for a real fault that is not mended yet.
+
+Each listed test still runs and has to fail: it is marked as a strict xfail, so that one that passes fails the
+run until its line is taken off.  A line that names no test, a malformed line, or more than ``MOST_LISTED``
+lines end the run with a usage error.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+FILE_NAME = "KNOWN-RED.txt"
+MOST_LISTED = 3
+SEPARATOR = " | "
+
+
+@dataclass(slots=True, frozen=True)
+class KnownFailure:
+    """One line of the list: a test's node id, the cause of its failure, and the issue that is to mend it."""
+
+    test: str
+    cause: str
+    issue: str
+
+    def __str__(self) -> str:
+        return SEPARATOR.join((self.test, self.cause, self.issue))
+
+
+def parse(text: str) -> list[KnownFailure]:
+    """The lines of the file without blank ones and comments; ValueError names the line that is wrong."""
+    found: list[KnownFailure] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        fields = [field.strip() for field in line.split(SEPARATOR.strip())]
+        if len(fields) != 3 or not all(fields):
+            raise ValueError(f"{FILE_NAME} line {number}: 'test | cause | issue' is needed, not {line!r}")
+        found.append(KnownFailure(*fields))
+    if len(found) > MOST_LISTED:
+        raise ValueError(f"{FILE_NAME}: {len(found)} tests are listed, at most {MOST_LISTED} may be")
+    tests = [failure.test for failure in found]
+    if len(set(tests)) < len(tests):
+        raise ValueError(f"{FILE_NAME}: a test is listed twice")
+    return found
+
+
+def read(root: Path) -> list[KnownFailure]:
+    """The list of the repository at ``root``; empty where there is no file."""
+    path = root / FILE_NAME
+    return parse(path.read_text()) if path.exists() else []
+
+
+class KnownRed:
+    """The pytest plugin that holds a run to the list."""
+
+    def __init__(self, failures: list[KnownFailure]) -> None:
+        self._failures = {failure.test: failure for failure in failures}
+
+    @pytest.hookimpl(tryfirst=True)
+    def pytest_collection_modifyitems(self, config: pytest.Config, items: list[pytest.Item]) -> None:
+        listed = {item.nodeid: item for item in items if item.nodeid in self._failures}
+        for nodeid, item in listed.items():
+            item.add_marker(pytest.mark.xfail(strict=True, reason=str(self._failures[nodeid])))
+        collected = {item.nodeid.partition("::")[0] for item in items}
+        whole_run = not config.invocation_params.args or set(config.args) == set(config.getini("testpaths"))
+        for test in self._failures.keys() - listed.keys():
+            if whole_run or (test.partition("::")[0] in collected and "::" not in "".join(config.args)):
+                raise pytest.UsageError(f"{FILE_NAME}: there is no test {test}")
+
+    def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
+        if self._failures:
+            terminalreporter.section(f"known failures ({FILE_NAME})")
+            for failure in self._failures.values():
+                terminalreporter.write_line(str(failure))
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Read the list before anything is collected."""
+    try:
+        failures = read(config.rootpath)
+    except ValueError as error:
+        raise pytest.UsageError(str(error)) from None
+    config.pluginmanager.register(KnownRed(failures), "known-red")
