--- /dev/null
+++ b/tests/faulty.py
@@ -0,0 +1,272 @@
+"""A head as it is started, under the fault shim, among plain sockets that a test steers.
+
+Everything runs in real time: a wall clock can only be stepped under a real process.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+from gaugesail.rehearsal import defaults
+from gaugesail.rehearsal.faults.shim import Faults
+
+ROOT = Path(__file__).parent.parent
+READY_S = 20.0
+BEAT_S = 1.0  # between empty lines of a watch
+HOST = "127.0.0.1"
+
+
+def wait_until(done: Callable[[], bool], seconds: float) -> bool:
+    """Whether it came true within so many seconds."""
+    end = time.monotonic() + seconds
+    while not done():
+        if time.monotonic() > end:
+            return False
+        time.sleep(0.01)
+    return True
+
+
+class HangingNode:
+    """A node that accepts connections and requests, and never answers."""
+
+    def __init__(self, shard: int) -> None:
+        self.shard, self.started_ms, self.phase = shard, 0, "Ready"
+        self.listener = socket.create_server((HOST, 0), backlog=128)
+        self.listener.setblocking(False)
+        self._accepted: list[socket.socket] = []
+        self._text: dict[socket.socket, bytes] = {}
+
+    def line(self) -> dict[str, Any]:
+        port = self.listener.getsockname()[1]
+        return {"id": f"b{self.shard}", "host_port": f"{HOST}:{port}", "locality": "", "flavor": "",
+                "cell": self.shard, "phase": self.phase, "size": 1.0,
+                "up_since_ms": self.started_ms}  # fmt: skip
+
+    @property
+    def requests(self) -> int:
+        """How many have come so far."""
+        with suppress(BlockingIOError):
+            while True:
+                accepted = self.listener.accept()[0]
+                accepted.setblocking(False)
+                self._accepted.append(accepted)
+        for accepted in self._accepted:
+            with suppress(OSError):
+                self._text[accepted] = self._text.get(accepted, b"") + accepted.recv(1 << 16)
+        return sum(text.count(b"Request-Id: ") for text in self._text.values())
+
+    def close(self) -> None:
+        for one in (self.listener, *self._accepted):
+            one.close()
+
+
+class ServingNode(HangingNode):
+    """A node that answers each request at once."""
+
+    def __init__(self, shard: int) -> None:
+        super().__init__(shard)
+        self._ended = False
+        self.served = 0
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while not self._ended:
+            before = self.requests
+            time.sleep(0.002)
+            while self.served < before:
+                self._answer()
+
+    def _answer(self) -> None:
+        for accepted, text in list(self._text.items()):
+            if b"\r\n\r\n" in text:
+                self._text[accepted] = b""
+                with suppress(OSError):
+                    accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                return
+
+    def close(self) -> None:
+        self._ended = True
+        super().close()
+
+
+class ListService:
+    """Discovery: each watch gets the whole list, what changes, and an empty line each second."""
+
+    def __init__(self, nodes: list[HangingNode]) -> None:
+        self.nodes, self.revision = nodes, 1
+        self._listener = socket.create_server((HOST, 0))
+        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
+        self._watches: list[socket.socket] = []
+        self._ended = False
+        self.calls = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def listing(self, full: bool = True) -> dict[str, Any]:
+        return {"revision": self.revision, "complete": full, "members": [node.line() for node in self.nodes]}
+
+    def _accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                watch = self._listener.accept()[0]
+                watch.recv(4096)
+                self.calls += 1
+                watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self._send(watch, json.dumps(self.listing()))
+                self._watches.append(watch)
+
+    def _beat(self) -> None:
+        while not self._ended:
+            time.sleep(BEAT_S)
+            self._tell("")
+
+    def _tell(self, text: str) -> None:
+        for watch in list(self._watches):
+            with suppress(OSError):
+                self._send(watch, text)
+
+    @staticmethod
+    def _send(watch: socket.socket, text: str) -> None:
+        data = text.encode() + b"\n"
+        watch.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def changed(self) -> None:
+        """Tell all watches the list as it is now."""
+        self.revision += 1
+        self._tell(json.dumps(self.listing(False)))
+
+    def close(self) -> None:
+        self._ended = True
+        for one in (self._listener, *self._watches):
+            one.close()
+
+
+class Answer:
+    """A request on a connection of its own, and what came of it."""
+
+    def __init__(self, head: FaultyHead, name: str, shard: int, timeout_ms: int) -> None:
+        self.due_s = timeout_ms / 1000
+        self._socket = socket.create_connection((HOST, head.port), 5.0)
+        self._socket.settimeout(0.0)
+        self._text = b""
+        self.took_s: float | None = None
+        self.began = time.monotonic()
+        text = (
+            f"GET /api HTTP/1.1\r\nHost: h\r\nRequest-Id: {name}\r\nRequest-Class: read\r\nX-Plan: basic\r\n"
+            f"X-IO: volume=1,units=1,shard={shard},hosts=1\r\nRequest-Timeout-Ms: {timeout_ms}\r\n\r\n"
+        )
+        self._socket.sendall(text.encode())
+
+    @property
+    def status(self) -> int:
+        """0 while there is none, -1 where the connection ended without one."""
+        if self.took_s is None:
+            with suppress(BlockingIOError):
+                data = self._socket.recv(4096)
+                self._text += data
+                if b"\r\n\r\n" in self._text or not data:
+                    self.took_s = time.monotonic() - self.began
+        if self.took_s is None:
+            return 0
+        return int(self._text[9:12]) if self._text.startswith(b"HTTP/1.1 ") else -1
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class FaultyHead:
+    """One process of a head whose system calls and wall clock are the test's."""
+
+    def __init__(
+        self, folder: Path, library: Path, nodes: list[HangingNode], arguments: tuple[str, ...] = (),
+        **changes: str,
+    ) -> None:  # fmt: skip
+        self.folder, self.nodes = folder, nodes
+        self.discovery = ListService(nodes)
+        self.faults = Faults(library, folder / "faults")
+        config: dict[str, Any] = {
+            "name": "n", "listen": f"{HOST}:0", "discovery": self.discovery.address, "seed": "7",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 0, "complete": True, "members": []}, "settings": defaults.settings(),
+        }  # fmt: skip
+        for path, value in changes.items():
+            defaults.change(config, path.replace("__", "."), value)
+        (folder / "config").write_text(json.dumps(config))
+        self._arguments = arguments
+        self.log = folder / "log"
+        self._answers: list[Answer] = []
+
+    def start(self) -> FaultyHead:
+        environ = os.environ | self.faults.environment()
+        environ |= {"BALANCER_CONFIG": str(self.folder / "config"), "TMPDIR": str(self.folder)}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gaugesail", *self._arguments], cwd=ROOT, env=environ, stderr=log
+            )
+        assert wait_until(lambda: "event=listening" in self.text, READY_S), self.text
+        line = next(line for line in self.text.splitlines() if "event=listening" in line)
+        self.port = int(line.partition("address=")[2].split()[0].rpartition(":")[2])
+        assert wait_until(lambda: self.discovery.calls > 0, 5.0)
+        time.sleep(0.1)
+        return self
+
+    @property
+    def text(self) -> str:
+        return self.log.read_text(errors="replace")
+
+    def ask(self, name: str, shard: int = 0, timeout_ms: int = 1000) -> Answer:
+        self._answers.append(answer := Answer(self, name, shard, timeout_ms))
+        return answer
+
+    def ask_all(self, timeout_ms: int = 1000) -> list[Answer]:
+        """One request for each node."""
+        now = time.monotonic_ns()
+        return [self.ask(f"r{node.shard}-{now}", node.shard, timeout_ms) for node in self.nodes]
+
+    def term(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def close(self) -> None:
+        for answer in self._answers:
+            answer.close()
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.discovery.close()
+        for node in self.nodes:
+            node.close()
+        self.faults.close()
+
+
+@contextmanager
+def faulty(
+    folder: Path, library: Path, nodes: list[HangingNode], *arguments: str, **changes: str
+) -> Iterator[FaultyHead]:
+    """A head that has started, and is ended whatever comes."""
+    head = FaultyHead(folder, library, nodes, arguments, **changes)
+    try:
+        yield head.start()
+    finally:
+        head.close()
+
+
+def answered_late(answers: list[Answer], slack_s: float = 0.25) -> list[str]:
+    """What is wrong with answers that were due, once the time of the last is well over."""
+    latest = max(answer.began + answer.due_s for answer in answers) + slack_s
+    wait_until(lambda: all(answer.status for answer in answers), latest - time.monotonic() + 1.0)
+    return [
+        f"{answer.status} after {answer.took_s} of {answer.due_s} s"
+        for answer in answers
+        if answer.status <= 0 or answer.took_s is None or answer.took_s > answer.due_s + slack_s
+    ]
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,89 @@
+"""The wall clock is stepped under a running head: every span is one of real time all the same."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+
+import pytest
+
+from gaugesail.rehearsal.faults.shim import build
+from tests.faulty import FaultyHead, HangingNode, ServingNode, answered_late, faulty, wait_until
+
+HOUR_S, DAY_S = 3600.0, 86400.0
+STEPS_S = (-HOUR_S, -3.0, -2.0, 3.0, HOUR_S)
+
+
+@pytest.fixture(scope="module")
+def library() -> Path:
+    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
+
+
+def folder_of(base: Path, name: object) -> Path:
+    (made := base / str(name)).mkdir()
+    return made
+
+
+def hanging() -> list[HangingNode]:
+    return [HangingNode(shard) for shard in range(8)]
+
+
+def test_requests_are_answered_in_time_whatever_step_came_before(tmp_path: Path, library: Path) -> None:
+    wrong: dict[float, list[str]] = {}
+    for step in STEPS_S:
+        with faulty(folder_of(tmp_path, step), library, hanging()) as head:
+            head.faults.step_wall_clock(step)
+            if late := answered_late(head.ask_all(1000)):
+                wrong[step] = late
+    assert not wrong
+
+
+def test_requests_in_flight_are_answered_in_time_through_steps(tmp_path: Path, library: Path) -> None:
+    wrong: dict[float, list[str]] = {}
+    for step in STEPS_S:
+        with faulty(folder_of(tmp_path, step), library, hanging()) as head:
+            answers = head.ask_all(1500)
+            time.sleep(0.3)
+            head.faults.step_wall_clock(step)
+            time.sleep(0.3)
+            head.faults.step_wall_clock(step)  # once more, the same way
+            if late := answered_late(answers):
+                wrong[step] = late
+    assert not wrong
+
+
+def test_a_stop_ends_in_time_through_steps(tmp_path: Path, library: Path) -> None:
+    wrong: dict[float, object] = {}
+    for step in (-DAY_S, -2.0, 2.0, HOUR_S):
+        with faulty(folder_of(tmp_path, step), library, hanging()) as head:
+            answers = head.ask_all(1500)
+            time.sleep(0.1)
+            head.term()
+            time.sleep(0.2)
+            head.faults.step_wall_clock(step)
+            late = answered_late(answers)
+            ended = wait_until(lambda head=head: head.process.poll() is not None, 5.0)  # type: ignore[misc]
+            if late or not ended:
+                wrong[step] = late, ended
+    assert not wrong
+
+
+def served(head: FaultyHead, name: str) -> int:
+    answer = head.ask(name, 0, 2000)
+    wait_until(lambda: answer.status != 0, 2.5)
+    return answer.status
+
+
+def test_a_drain_told_after_a_step_is_kept(tmp_path: Path, library: Path) -> None:
+    for step in (-HOUR_S, HOUR_S):
+        with faulty(folder_of(tmp_path, step), library, [ServingNode(0)]) as head:
+            assert served(head, "before") == 200
+            head.faults.step_wall_clock(step)
+            head.nodes[0].phase = "Terminating"
+            head.discovery.changed()
+            time.sleep(0.4)
+            before = head.nodes[0].requests
+            head.ask("after", 0, 1000)
+            time.sleep(0.3)
+            assert head.nodes[0].requests == before, step
