Time every span of a head by the monotonic clock

Cause: Twisted's reactor counts its calls by time.time, so each timer of the daemon (gaugesail/core/clock.py _Timer) fired by the wall clock while now_us beside it was monotonic. Ruled out: the engine's deadlines, the module and the windows, which use now_us alone.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -4,6 +4,7 @@
 
 import gc
 import signal
+import time
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -14,7 +15,7 @@
 from marllift.interface import NodeList
 
 from . import config as configuration
-from .core.clock import ReactorClock, boot_ns
+from .core.clock import ReactorClock, boot_ns, use_monotonic_time
 from .core.engine import Engine
 from .core.ports import Clock, Logger, Reactor
 from .http.bricks import BrickConnection, BrickPool
@@ -176,7 +177,10 @@
     head: Service
     try:
         arguments, fleet_file = _among_others(arguments)
-        clock, companion = None, None
+        # Leases are counted by the one that goes on while the machine sleeps.
+        monotonic_ns = boot_ns if fleet_file is not None else time.monotonic_ns
+        use_monotonic_time(reactor, monotonic_ns)
+        clock, companion = ReactorClock(reactor, monotonic_ns), None
         if arguments:
             from .iscsi.operator import load_operator
 
@@ -186,8 +190,6 @@
             from .fleet.agent import FleetAgent
             from .fleet.settings import load_fleet
 
-            # Leases are counted by it: it goes on while the machine sleeps.
-            clock = ReactorClock(reactor, boot_ns)
             companion = FleetAgent(reactor, clock, load_fleet(fleet_file), log)
             alone = load
             load = lambda: _shares(alone())  # noqa: E731
--- a/gaugesail/measure/fleet_cost.py
+++ b/gaugesail/measure/fleet_cost.py
@@ -18,6 +18,7 @@
 
 import click
 
+from ..core.clock import use_monotonic_time
 from ..rehearsal.fleet.trial import UP_S, NotUp, Rig, Trial
 
 RATE = 100_000.0  # units a second: nothing is refused
@@ -102,6 +103,7 @@
     """What a request costs a head among others, against a head alone, in one run."""
     from twisted.internet import reactor  # importing it installs it: only the command does
 
+    use_monotonic_time(reactor)
     try:
         told = measured(reactor, requests, batches, rounds)
     except NotUp as error:
--- a/gaugesail/rehearsal/fleet/command.py
+++ b/gaugesail/rehearsal/fleet/command.py
@@ -18,6 +18,7 @@
 from rich.table import Table
 from rich.text import Text
 
+from ...core.clock import use_monotonic_time
 from .trial import KINDS, NotUp, Played, Rig, Trial, play
 
 BARS = " ▁▂▃▄▅▆▇█"
@@ -158,6 +159,7 @@
     """
     from twisted.internet import reactor  # importing it installs it: only the command does
 
+    use_monotonic_time(reactor)
     # Told to end, it ends the heads that it has started before it goes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     if keepers % 2 == 0 or keepers > heads:
--- a/gaugesail/rehearsal/worlds.py
+++ b/gaugesail/rehearsal/worlds.py
@@ -20,7 +20,7 @@
 
 from .. import config as configuration
 from ..app import Head
-from ..core.clock import ReactorClock
+from ..core.clock import ReactorClock, use_monotonic_time
 from ..http.discovery import split_address
 from ..iscsi.app import IscsiHead
 from ..iscsi.operator import read_operator, write_toml
@@ -174,6 +174,7 @@
     def __init__(self) -> None:
         from twisted.internet import reactor  # importing it installs it: only this world does
 
+        use_monotonic_time(reactor)
         self.reactor: Any = reactor
         self._folder = tempfile.TemporaryDirectory()
         self._file = Path(self._folder.name) / "config"
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -162,8 +162,10 @@
         self._text = b""
         self.took_s: float | None = None
         self.began = time.monotonic()
+        block = hash(name) & 0xFFFF_FFFF  # of its own, so that none is taken for another's repeat
         text = (
             f"GET /api HTTP/1.1\r\nHost: h\r\nRequest-Id: {name}\r\nRequest-Class: read\r\nX-Plan: basic\r\n"
+            f"Cookie: block={block:x}\r\n"
             f"X-IO: volume=1,units=1,shard={shard},hosts=1\r\nRequest-Timeout-Ms: {timeout_ms}\r\n\r\n"
         )
         self._socket.sendall(text.encode())
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -87,3 +87,14 @@
             head.ask("after", 0, 1000)
             time.sleep(0.3)
             assert head.nodes[0].requests == before, step
+
+
+def test_a_watch_that_falls_silent_after_a_step_is_opened_anew(tmp_path: Path, library: Path) -> None:
+    for step in (-HOUR_S, HOUR_S):
+        with faulty(folder_of(tmp_path, step), library, [ServingNode(0)]) as head:
+            calls = head.discovery.calls
+            head.faults.step_wall_clock(step)
+            time.sleep(0.5)
+            assert head.discovery.calls == calls, "a step is no silence"
+            head.discovery._watches.clear()
+            assert wait_until(lambda: head.discovery.calls > calls, 6.0), step  # noqa: B023
