--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -37,6 +37,12 @@
     return True
 
 
+def folder_of(base: Path, name: object) -> Path:
+    """A folder of its own for one of several heads of a test."""
+    (made := base / str(name)).mkdir()
+    return made
+
+
 class HangingNode:
     """A node that accepts connections and requests, and never answers."""
 
@@ -253,10 +259,12 @@
 
 @contextmanager
 def faulty(
-    folder: Path, library: Path, nodes: list[HangingNode], *arguments: str, **changes: str
-) -> Iterator[FaultyHead]:
-    """A head that has started, and is ended whatever comes."""
+    folder: Path, library: Path, nodes: list[HangingNode], *arguments: str, ahead_s: float = 0.0,
+    **changes: str,
+) -> Iterator[FaultyHead]:  # fmt: skip
+    """A head that has started, with its wall clock so far ahead, and is ended whatever comes."""
     head = FaultyHead(folder, library, nodes, arguments, **changes)
+    head.faults.step_wall_clock(ahead_s)
     try:
         yield head.start()
     finally:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gaugesail.rehearsal.faults.shim import build
-from tests.faulty import FaultyHead, HangingNode, ServingNode, answered_late, faulty, wait_until
+from tests.faulty import FaultyHead, HangingNode, ServingNode, answered_late, faulty, folder_of, wait_until
 
 HOUR_S, DAY_S = 3600.0, 86400.0
 STEPS_S = (-HOUR_S, -3.0, -2.0, 3.0, HOUR_S)
@@ -20,11 +20,6 @@
     return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
 
 
-def folder_of(base: Path, name: object) -> Path:
-    (made := base / str(name)).mkdir()
-    return made
-
-
 def hanging() -> list[HangingNode]:
     return [HangingNode(shard) for shard in range(8)]
 
