Count a node's start by the gateway's own clock, from when it is heard of

Cause: decide.py _started took the start that the list tells, Unix time by discovery's clock, for a time on the head's clock, which is the wall clock as it was at the head's start: an hour ahead made a cold node warm, an hour behind kept a warm one cold, and a discovery whose clock went back had its starts taken for old or dropped (started_us > book.started). A call back from maintenance wrote our own time into the same field. Ruled out: the share and the turns of cold.py, which use the gateway's clock alone. Change: marllift/starts.py. A start that comes as news counts from then; in a gateway's first lists only the differences between starts count; the book keeps what was told (for gifts) apart from cold_since; a list that drops a node for a moment changes nothing.

--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -17,6 +17,7 @@
 from .interface import Effect, Result
 from .lines import Standing
 from .recovery import Recovery
+from .starts import StartTimes
 from .state import Chain, Job, NodeBook, Shard, Volume
 
 PERIOD_US = 250_000  # of the control loop; a second in the paper, too slow for surges of a few seconds
@@ -44,7 +45,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.born, self.now = now, now
-        self.rng, self.cold = random.Random(seed), ColdCare(settings, now)
+        self.rng, self.cold, self.starts = random.Random(seed), ColdCare(settings, now), StartTimes()
         self.amounts = Amounts(settings, now)
         self.recovery = Recovery(settings, self.cold, random.Random(seed + 1))
         self.places: dict[str, int] = {}  # of each class in the books
@@ -128,6 +129,7 @@
             self.acts.append(api.SetTimer(self.now + int(wait * (0.5 + self.rng.random())), BELL_WATCH))
             return
         self.watch_fails = 0
+        fresh = self.starts.hear(self.now, event)
         if event.kind is not api.ListKind.CHANGES:
             listed = {line.node for line in event.nodes}
             for node in self.nodes.values():
@@ -142,18 +144,21 @@
                 if known := [node.latency for node in self.nodes.values() if node.latency != self.target]:
                     book.latency = [sum(kind) / len(known) for kind in zip(*known, strict=True)]
                 self.nodes[line.node] = book
+                if line.started_us and (since := self.starts.since(line.node)) is not None:
+                    self._started(book, line.started_us, since)
             book.listed = line.mode is api.NodeMode.READY
             if not book.listed or book.id in self.away:
                 self._retire(book)
                 continue
-            if line.started_us > book.started:
-                self._started(book, line.started_us)
+            if line.node in fresh:
+                self._started(book, line.started_us, fresh[line.node])
             self._admit(book)
 
-    def _started(self, node: NodeBook, at: int) -> None:
-        node.started = at
-        node.cold_since = at if self.cold.share(self.now, at) < 1 else None
-        node.part = self.cold.part(at)
+    def _started(self, node: NodeBook, told: int, since: int) -> None:
+        """A start that lists tell as ``told`` was at ``since`` on this gateway's clock, or later."""
+        node.started = told
+        node.cold_since = since if self.cold.share(self.now, since) < 1 else None
+        node.part = self.cold.part(since)
         cold = node.cold_since is not None
         node.windows, node.misses = [COLD_WINDOW if cold else START_WINDOW] * TIERS, 0
 
@@ -183,7 +188,7 @@
         self._retire(node)
         if not event.on:
             # When it restarted is not told: the latest moment is the safe one.
-            self._started(node, self.now)
+            self._started(node, node.started, self.now)
             node.lived, node.next_at, node.rest = self.now, 0, [0] * TIERS
             if node.listed:
                 self._admit(node)
--- a/marllift/recovery.py
+++ b/marllift/recovery.py
@@ -94,7 +94,7 @@
         """
         if (line := self.lines.get(node.shard)) is None:
             return
-        again, line.started = node.started > line.started, node.started
+        again, line.started = node.started != line.started, node.started
         if line.phase is Phase.DOWN:
             if 0 < now - node.started < MOST_LAG_US:
                 self.lags.append(now - node.started)
--- /dev/null
+++ b/marllift/starts.py
@@ -0,0 +1,58 @@
+"""When nodes started, on the gateway's own clock.
+
+Lists tell starts by discovery's clock.  The gateway's own clock may be off from it by any amount, and
+either may be stepped, so that the two are never compared.  What is certain is what the gateway has seen
+itself: a start that comes as news happened no later than it was heard of, and is counted from then.  Of the
+starts in its first lists a gateway knows how they stand to each other: each is at least as old as it is
+older than the newest.
+"""
+
+from __future__ import annotations
+
+from .interface import ListKind, Node, NodeId, NodeList
+
+MOST_KNOWN = 10_000  # nodes whose starts are remembered: more than any list has
+
+
+class StartTimes:
+    """The starts that lists have told one gateway.  All times are microseconds."""
+
+    def __init__(self) -> None:
+        self._known: dict[NodeId, tuple[int, int]] = {}  # the start as it was told, and on our clock
+        self._lead: int | None = None  # by how much discovery's clock is ahead of ours, at the least
+        self._current = False  # a list has come that is not the one of an earlier process
+
+    def hear(self, now: int, news: NodeList) -> dict[NodeId, int]:
+        """Take in a list: the nodes with a start that this gateway had not heard of, and when it was on our
+        clock.  A start of 0 is long ago and no news."""
+        fresh = [line for line in news.nodes if self._is_fresh(line)]
+        for line in fresh:
+            lead = line.started_us - now
+            self._lead = lead if self._lead is None else max(self._lead, lead)
+        found = {line.node: self._since(now, line.started_us) for line in fresh}
+        for line in fresh:
+            self._remember(line, found[line.node])
+        if news.kind is not ListKind.CACHED and news.nodes:
+            self._current = True
+        return found
+
+    def since(self, node: NodeId) -> int | None:
+        """When the latest start of a node was, where one was told; a list that drops it for a moment changes
+        nothing."""
+        known = self._known.get(node)
+        return None if known is None else known[1]
+
+    def _is_fresh(self, line: Node) -> bool:
+        known = self._known.get(line.node)
+        return line.started_us > 0 and (known is None or known[0] != line.started_us)
+
+    def _since(self, now: int, started: int) -> int:
+        if self._current or self._lead is None:
+            return now
+        return now - max(0, now + self._lead - started)
+
+    def _remember(self, line: Node, since: int) -> None:
+        self._known.pop(line.node, None)
+        self._known[line.node] = line.started_us, since
+        if len(self._known) > MOST_KNOWN:
+            del self._known[next(iter(self._known))]
--- a/marllift/state.py
+++ b/marllift/state.py
@@ -89,8 +89,8 @@
     base: list[float] = field(default_factory=list)
     ready: bool = True
     listed: bool = True  # ready by the latest list, in maintenance or not
-    started: int = 0
-    cold_since: int | None = None
+    started: int = 0  # as lists tell it, by discovery's clock
+    cold_since: int | None = None  # by ours
     sums: list[float] = field(default_factory=list)
     counts: list[int] = field(default_factory=list)
     slots: list[int] = field(default_factory=list)
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -13,10 +13,11 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager, suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from gaugesail.rehearsal import defaults
 from gaugesail.rehearsal.faults.shim import Faults
@@ -25,6 +26,8 @@
 READY_S = 20.0
 BEAT_S = 1.0  # between empty lines of a watch
 HOST = "127.0.0.1"
+Row = TypeVar("Row")
+Found = TypeVar("Found")
 
 
 def wait_until(done: Callable[[], bool], seconds: float) -> bool:
@@ -43,6 +46,13 @@
     return made
 
 
+def at_once(rows: Iterable[Row], call: Callable[[Row], Found]) -> dict[Row, Found]:
+    """What a call finds for each row; the rows are played beside each other."""
+    rows = list(rows)
+    with ThreadPoolExecutor(len(rows)) as pool:
+        return dict(zip(rows, pool.map(call, rows), strict=True))
+
+
 class HangingNode:
     """A node that accepts connections and requests, and never answers."""
 
@@ -82,7 +92,9 @@
 
     def __init__(self, shard: int) -> None:
         super().__init__(shard)
+        self._done: dict[socket.socket, int] = {}  # answers by connection
         self._ended = False
+        self.serving = True
         self.served = 0
         threading.Thread(target=self._serve, daemon=True).start()
 
@@ -90,13 +102,14 @@
         while not self._ended:
             before = self.requests
             time.sleep(0.002)
-            while self.served < before:
+            while self.serving and self.served < before:
                 self._answer()
 
     def _answer(self) -> None:
+        self.served += 1
         for accepted, text in list(self._text.items()):
-            if b"\r\n\r\n" in text:
-                self._text[accepted] = b""
+            if text.count(b"\r\n\r\n") > self._done.get(accepted, 0):
+                self._done[accepted] = self._done.get(accepted, 0) + 1
                 with suppress(OSError):
                     accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
                 return
@@ -114,6 +127,7 @@
         self._listener = socket.create_server((HOST, 0))
         self.address = f"{HOST}:{self._listener.getsockname()[1]}"
         self._watches: list[socket.socket] = []
+        self._silent: list[socket.socket] = []
         self._ended = False
         self.calls = 0
         threading.Thread(target=self._accept, daemon=True).start()
@@ -147,6 +161,11 @@
         data = text.encode() + b"\n"
         watch.sendall(b"%x\r\n%b\r\n" % (len(data), data))
 
+    def fall_silent(self) -> None:
+        """The watches that are open stay open and hear nothing more."""
+        self._silent += self._watches
+        self._watches = []
+
     def changed(self) -> None:
         """Tell all watches the list as it is now."""
         self.revision += 1
@@ -154,14 +173,16 @@
 
     def close(self) -> None:
         self._ended = True
-        for one in (self._listener, *self._watches):
+        for one in (self._listener, *self._watches, *self._silent):
             one.close()
 
 
 class Answer:
     """A request on a connection of its own, and what came of it."""
 
-    def __init__(self, head: FaultyHead, name: str, shard: int, timeout_ms: int) -> None:
+    def __init__(
+        self, head: FaultyHead, name: str, shard: int, timeout_ms: int, units: int
+    ) -> None:
         self.due_s = timeout_ms / 1000
         self._socket = socket.create_connection((HOST, head.port), 5.0)
         self._socket.settimeout(0.0)
@@ -172,7 +193,7 @@
         text = (
             f"GET /api HTTP/1.1\r\nHost: h\r\nRequest-Id: {name}\r\nRequest-Class: read\r\nX-Plan: basic\r\n"
             f"Cookie: block={block:x}\r\n"
-            f"X-IO: volume=1,units=1,shard={shard},hosts=1\r\nRequest-Timeout-Ms: {timeout_ms}\r\n\r\n"
+            f"X-IO: volume=1,units={units},shard={shard},hosts=1\r\nRequest-Timeout-Ms: {timeout_ms}\r\n\r\n"
         )
         self._socket.sendall(text.encode())
 
@@ -233,8 +254,8 @@
     def text(self) -> str:
         return self.log.read_text(errors="replace")
 
-    def ask(self, name: str, shard: int = 0, timeout_ms: int = 1000) -> Answer:
-        self._answers.append(answer := Answer(self, name, shard, timeout_ms))
+    def ask(self, name: str, shard: int = 0, timeout_ms: int = 1000, units: int = 1) -> Answer:
+        self._answers.append(answer := Answer(self, name, shard, timeout_ms, units))
         return answer
 
     def ask_all(self, timeout_ms: int = 1000) -> list[Answer]:
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -9,11 +9,13 @@
 import pytest
 
 from gaugesail.rehearsal.faults.shim import build
-from tests.faulty import FaultyHead, HangingNode, faulty, folder_of, wait_until
+from marllift import Gateway
+from marllift import interface as api
+from marllift.interface import ListKind
+from tests.faulty import FaultyHead, HangingNode, at_once, faulty, folder_of, wait_until
 
 HOUR_S = 3600.0
 ASKED = 8
-WARM_AT_ONCE = 4  # what a warm node that hangs is sent (decide.START_WINDOW)
 SETTLED_S = 0.4
 
 
@@ -26,47 +28,104 @@
     return time.time_ns() // 1_000_000
 
 
-def sent_at_once(head: FaultyHead, node: HangingNode) -> int:
+def sent_at_once(head: FaultyHead, node: HangingNode, units: int = 1) -> int:
     """How many of several requests a node that hangs is sent before it has answered any."""
     before = node.requests
     for number in range(ASKED):
-        head.ask(f"a{time.monotonic_ns()}-{number}", node.shard, 2500)
+        head.ask(f"a{time.monotonic_ns()}-{number}", node.shard, 2500, units)
     wait_until(lambda: node.requests - before >= ASKED, SETTLED_S)
     return node.requests - before
 
 
 def test_a_node_that_started_before_the_head_is_cold(tmp_path: Path, library: Path) -> None:
-    sent: dict[float, int] = {}
-    for ahead_s in (HOUR_S, 30.0, 0.0, -HOUR_S):
+    def sent(ahead_s: float) -> int:
         node = HangingNode(0)
         node.started_ms = unix_ms() - 1000
         with faulty(folder_of(tmp_path, ahead_s), library, [node], ahead_s=ahead_s) as head:
             time.sleep(1.6)  # past the window in which an earlier life of the head may have sent
-            sent[ahead_s] = sent_at_once(head, node)
-    assert max(sent.values()) <= 1, sent
+            return sent_at_once(head, node)
+
+    found = at_once((HOUR_S, 30.0, 0.0, -HOUR_S), sent)
+    assert max(found.values()) <= 1, found
 
 
 def test_a_node_whose_start_is_told_by_the_watch_is_cold(tmp_path: Path, library: Path) -> None:
-    """The head's clock is off from its start, or that of discovery has been stepped back."""
-    sent: dict[tuple[float, float], int] = {}
-    for ahead_s, told_s in ((HOUR_S, 0.0), (30.0, 0.0), (-HOUR_S, 0.0), (0.0, -HOUR_S), (0.0, HOUR_S)):
+    """The head's clock is off from its start, or that of discovery has been stepped."""
+
+    def sent(off: tuple[float, float]) -> int:
+        ahead_s, told_s = off
         node, other = HangingNode(0), HangingNode(1)
         other.started_ms = unix_ms() - 1000
-        with faulty(folder_of(tmp_path, (ahead_s, told_s)), library, [node, other], ahead_s=ahead_s) as head:
+        with faulty(folder_of(tmp_path, off), library, [node, other], ahead_s=ahead_s) as head:
             node.started_ms = unix_ms() + int(told_s * 1000)
             head.discovery.changed()
             time.sleep(0.2)
-            sent[ahead_s, told_s] = sent_at_once(head, node)
-    assert max(sent.values()) <= 1, sent
+            return sent_at_once(head, node)
 
+    rows = ((HOUR_S, 0.0), (30.0, 0.0), (-HOUR_S, 0.0), (0.0, -HOUR_S), (0.0, HOUR_S))
+    found = at_once(rows, sent)
+    assert max(found.values()) <= 1, found
 
-def test_a_node_that_has_started_long_ago_gets_warm(tmp_path: Path, library: Path) -> None:
-    sent: dict[float, int] = {}
-    for ahead_s in (HOUR_S, 0.0, -HOUR_S):
-        node = HangingNode(0)
-        node.started_ms = unix_ms() - 60_000
-        changes = {"guarantees__ramp_time_us": "1000000"}
-        with faulty(folder_of(tmp_path, ahead_s), library, [node], ahead_s=ahead_s, **changes) as head:
-            time.sleep(1.6)
-            sent[ahead_s] = sent_at_once(head, node)
-    assert min(sent.values()) == WARM_AT_ONCE, sent
+
+NOW, SECOND = 1_700_000_000_000_000, 1_000_000
+WARM_AFTER_US = 17 * SECOND
+
+
+def gateway(now: int) -> Gateway:
+    classes = (api.RequestClass("read", 500_000, 3_000_000),)
+    return Gateway(
+        api.Settings(classes=classes, plans=(api.Plan("basic", 8.0, 4.0),), fall_us=1_500_000,
+                     fall_multiple=3.0, cold_share=0.31, cold_units=22.0, warm_after_us=WARM_AFTER_US),
+        seed=7, now=now,
+    )  # fmt: skip
+
+
+def hear(heard: Gateway, now: int, kind: ListKind, *starts: tuple[bytes, int]) -> None:
+    nodes = tuple(api.Node(name, shard, started_us=at) for shard, (name, at) in enumerate(starts))
+    heard.handle(now, [api.NodeList(kind, nodes)])
+
+
+def age_s(heard: Gateway, now: int, name: bytes) -> float:
+    """How long ago a node started, as far as the gateway knows; infinite for one that is warm."""
+    since = heard.nodes[name].cold_since
+    return float("inf") if heard.cold.share(now, since) >= 1 or since is None else (now - since) / SECOND
+
+
+@pytest.mark.parametrize("off_s", [-3600, -3, 0, 3, 3600])
+def test_first_lists_tell_how_much_older_one_start_is_than_another(off_s: int) -> None:
+    told, heard = NOW + off_s * SECOND, gateway(NOW)
+    starts = (b"old", told - 60 * SECOND), (b"mid", told - 10 * SECOND), (b"new", told)
+    hear(heard, NOW, ListKind.CACHED, *starts)
+    assert [age_s(heard, NOW, name) for name in (b"old", b"mid", b"new")] == [float("inf"), 10.0, 0.0]
+
+
+@pytest.mark.parametrize("off_s", [-3600, -3, 0, 3, 3600])
+def test_the_first_list_of_discovery_counts_from_what_the_known_one_told(off_s: int) -> None:
+    told, heard = NOW + off_s * SECOND, gateway(NOW)
+    hear(heard, NOW, ListKind.CACHED, (b"old", told))
+    hear(heard, NOW + 5 * SECOND, ListKind.FULL, (b"old", told), (b"new", told + 2 * SECOND))
+    assert age_s(heard, NOW + 5 * SECOND, b"old") == 5.0
+    assert age_s(heard, NOW + 5 * SECOND, b"new") == 3.0
+
+
+@pytest.mark.parametrize("off_s", [-3600, -3, 0, 3, 3600])
+def test_a_start_that_comes_as_news_is_counted_from_then(off_s: int) -> None:
+    heard = gateway(NOW)
+    hear(heard, NOW, ListKind.FULL, (b"a", 0), (b"b", NOW - 60 * SECOND))
+    now = NOW + 5 * SECOND
+    hear(heard, now, ListKind.CHANGES, (b"a", now + off_s * SECOND))
+    assert age_s(heard, now, b"a") == 0.0
+    later = now + WARM_AFTER_US
+    hear(heard, later, ListKind.CHANGES, (b"a", now + off_s * SECOND))
+    assert age_s(heard, later, b"a") == float("inf"), "warm, whatever the clocks are"
+
+
+def test_a_list_that_drops_a_node_for_a_moment_makes_it_neither_warm_nor_colder() -> None:
+    heard = gateway(NOW)
+    hear(heard, NOW, ListKind.FULL, (b"a", 0))
+    hear(heard, NOW + SECOND, ListKind.CHANGES, (b"a", NOW))
+    hear(heard, NOW + 2 * SECOND, ListKind.FULL)
+    heard.handle(NOW + 3 * SECOND, [api.TimerFired(1)])  # its book ends
+    assert b"a" not in heard.nodes
+    hear(heard, NOW + 4 * SECOND, ListKind.FULL, (b"a", NOW))
+    assert age_s(heard, NOW + 4 * SECOND, b"a") == 3.0
