--- a/gaugesail/cli.py
+++ b/gaugesail/cli.py
@@ -34,7 +34,10 @@
     """gaugesail: a storage head, its rehearsal kit and its laboratory."""
 
 
-@click.group(cls=LazyGroup, lazy={"budgets": "gaugesail.rehearsal.fleet.command:command"})
+@click.group(cls=LazyGroup, lazy={
+    "budgets": "gaugesail.rehearsal.fleet.command:command",
+    "soak": "gaugesail.rehearsal.soak.command:command",
+})  # fmt: skip
 def trial() -> None:
     """Play what the fleet does with real processes on loopback, and faults between them."""
 
--- a/gaugesail/rehearsal/fleet/heads.py
+++ b/gaugesail/rehearsal/fleet/heads.py
@@ -47,6 +47,7 @@
         self.config: dict[str, Any] = {}
         self.process: subprocess.Popen[bytes] | None = None
         self.with_fleet = True
+        self.environ: dict[str, str] = {}  # what its processes find besides
         self.stopped = False  # SIGSTOP
         self.started_at = 0.0
         folder.mkdir(parents=True, exist_ok=True)
@@ -90,6 +91,7 @@
         if self.with_fleet:
             command += ["--fleet", str(self.folder / "fleet.toml")]
         environ = os.environ | {"BALANCER_CONFIG": str(self.folder / "config"), "TMPDIR": str(self.folder)}
+        environ |= self.environ
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command, env=environ, stderr=log, stdout=log)
         self.started_at = time.monotonic()
