--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -222,15 +222,23 @@
         self._started = started
         self._arrivals: deque[tuple[float, float]] = deque()  # when, requests of mean work
 
+    def share(self, now: float) -> float:
+        """Of its power, what it has by the slowest ramp that the settings allow."""
+        age = min(plan.WARM_AFTER_S, now - self._started)
+        return plan.COLD_SHARE + (1 - plan.COLD_SHARE) * age / plan.WARM_AFTER_S
+
+    def serving_s(self, now: float, units: float) -> float:
+        """How long it works on so many units: its power is what the settings' figure stands for."""
+        full = plan.COLD_UNITS / plan.FALL_MULTIPLE / plan.COLD_SHARE / plan.FALL_S
+        return units / (full * self.share(now))
+
     def take(self, now: float, units: float) -> float:
         """Enter an arrival; by how many requests the window is over what is allowed."""
         self._arrivals.append((now, units / plan.MEAN_UNITS))
         while self._arrivals[0][0] < now - plan.FALL_S:
             self._arrivals.popleft()
-        age = now - self._started
-        if age >= plan.WARM_AFTER_S:
+        if now - self._started >= plan.WARM_AFTER_S:
             return 0.0
-        share = plan.COLD_SHARE + (1 - plan.COLD_SHARE) * age / plan.WARM_AFTER_S
-        calls = plan.COLD_UNITS / plan.MEAN_UNITS * share / plan.COLD_SHARE
+        calls = plan.COLD_UNITS / plan.MEAN_UNITS * self.share(now) / plan.COLD_SHARE
         chance = 2 * calls**0.5 + 2 if calls >= 30 else 3 * calls**0.5 + 3
         return sum(work for _, work in self._arrivals) - float(calls + chance)
--- a/gaugesail/rehearsal/soak/nodes.py
+++ b/gaugesail/rehearsal/soak/nodes.py
@@ -46,6 +46,7 @@
         self.behaviour, self.phase = Behaviour.SERVE, "Ready"
         self.started_unix_ms = 0
         self.cold: ColdNodeWindow | None = None
+        self._free_at = 0.0  # when its work in hand is done, while it is cold
         self.drained_at: dict[str, float] = {}  # by head: when it was told
         self._refused_s = self._refused_until = 0.0
         self._late: dict[HttpConnection, float] = {}  # by connection: how late it was taken
@@ -89,13 +90,20 @@
         if (told := self.drained_at.get(asked.head)) is not None:
             self._judge.sent_to_draining(asked, self.name, self._judge.now() - told - late_s)
         if self.cold is not None:
-            units = float(head.headers["x-io"].partition("units=")[2].partition(",")[0])
-            over = self.cold.take(self._judge.now(), units)
-            if over > 0:
-                self._judge.broke(Rule.COLD_NODE, asked.head, f"{self.name}: {over:.1f} requests too many")
-                self.cold = None
+            self._take_cold(asked, float(head.headers["x-io"].partition("units=")[2].partition(",")[0]))
         self._act(connection, asked, asked.arrivals[-1])
 
+    def _take_cold(self, asked: Asked, units: float) -> None:
+        """A node that has started works in turn, as slowly as the settings allow."""
+        now = self._judge.now()
+        if self.cold is None or self.cold.share(now) >= 1:
+            self.cold = None
+            return
+        self._free_at = max(now, self._free_at) + self.cold.serving_s(now, units)
+        if (over := self.cold.take(now, units)) > 0:
+            self._judge.broke(Rule.COLD_NODE, asked.head, f"{self.name}: {over:.1f} requests too many")
+            self.cold = None
+
     def _act(self, connection: HttpConnection, asked: Asked, arrival: Arrival) -> None:
         match self.behaviour:
             case Behaviour.HANG:
@@ -115,7 +123,8 @@
             case Behaviour.TRICKLE:
                 self._trickle(connection, self._answer(asked), arrival)
             case _:
-                self._later(self._rng.uniform(*SERVE_S), self._serve, connection, asked, arrival)
+                busy_s = max(0.0, self._free_at - self._judge.now())
+                self._later(busy_s + self._rng.uniform(*SERVE_S), self._serve, connection, asked, arrival)
 
     @staticmethod
     def _answer(asked: Asked) -> bytes:
--- a/gaugesail/rehearsal/soak/plan.py
+++ b/gaugesail/rehearsal/soak/plan.py
@@ -12,6 +12,7 @@
 DRAIN_GRACE_S = 0.25
 KEYED_WINDOW_S = 0.8
 COLD_UNITS, COLD_SHARE, FALL_S, WARM_AFTER_S = 60.0, 0.31, 1.5, 8.0
+FALL_MULTIPLE = 3.0
 LONGEST_DEADLINE_S = 3.0  # the least that a SIGKILL after a SIGTERM is counted from
 
 
@@ -57,8 +58,8 @@
         "slots_total": plan.nodes, "usual_units": MEAN_UNITS,
     }  # fmt: skip
     made["guarantees"] |= {
-        "cold_share": COLD_SHARE, "drain_grace_us": int(DRAIN_GRACE_S * 1e6), "fall_us": int(FALL_S * 1e6),
-        "ramp_time_us": int(WARM_AFTER_S * 1e6),
+        "cold_share": COLD_SHARE, "fall_multiple": FALL_MULTIPLE, "fall_us": int(FALL_S * 1e6),
+        "drain_grace_us": int(DRAIN_GRACE_S * 1e6), "ramp_time_us": int(WARM_AFTER_S * 1e6),
     }  # fmt: skip
     made["permissions"] |= {"max_attempts": MAX_ATTEMPTS, "conn_idle_us": 4_000_000}
     return made
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -95,24 +95,21 @@
         self._done: dict[socket.socket, int] = {}  # answers by connection
         self._ended = False
         self.serving = True
-        self.served = 0
         threading.Thread(target=self._serve, daemon=True).start()
 
     def _serve(self) -> None:
         while not self._ended:
-            before = self.requests
             time.sleep(0.002)
-            while self.serving and self.served < before:
-                self._answer()
+            with suppress(OSError):  # it is being closed
+                if self.requests and self.serving:
+                    self._answer()
 
     def _answer(self) -> None:
-        self.served += 1
         for accepted, text in list(self._text.items()):
-            if text.count(b"\r\n\r\n") > self._done.get(accepted, 0):
+            while text.count(b"\r\n\r\n") > self._done.get(accepted, 0):
                 self._done[accepted] = self._done.get(accepted, 0) + 1
                 with suppress(OSError):
                     accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-                return
 
     def close(self) -> None:
         self._ended = True
@@ -201,11 +198,15 @@
     def status(self) -> int:
         """0 while there is none, -1 where the connection ended without one."""
         if self.took_s is None:
-            with suppress(BlockingIOError):
+            try:
                 data = self._socket.recv(4096)
-                self._text += data
-                if b"\r\n\r\n" in self._text or not data:
-                    self.took_s = time.monotonic() - self.began
+            except BlockingIOError:
+                return 0
+            except ConnectionError:
+                data = b""
+            self._text += data
+            if b"\r\n\r\n" in self._text or not data:
+                self.took_s = time.monotonic() - self.began
         if self.took_s is None:
             return 0
         return int(self._text[9:12]) if self._text.startswith(b"HTTP/1.1 ") else -1
