Let connections wait in the kernel while no descriptor is free, in place of closing them

Cause: Twisted's Port.doRead answers EMFILE by accepting with a reserved descriptor and closing what it accepted (twisted.internet.tcp._accept); a client whose request was on its way got a reset. Ruled out: ENFILE, ENOBUFS, ENOMEM, ECONNABORTED and the errors of a pending connection, after which the next accept serves. Both fronts and the second address use it. The test of a bounded burst is kept and goes over a real listening socket.

--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -62,28 +62,6 @@
     return told if given == resource.RLIM_INFINITY else min(told, given)
 
 
-def bound_accepts(port: Any, room: Callable[[], int]) -> None:
-    """Let a listening port accept no more at once than there is room for.
-
-    Twisted accepts up to 100 in a burst, whatever its factory does meanwhile; past the limit on
-    descriptors it closes what it accepts, and a request that is already on its way is lost.
-    """
-    if hasattr(port, "numberAccepts"):
-        accept = port.doRead
-
-        def accept_few() -> None:
-            port.numberAccepts = max(1, room())
-            accept()
-
-        port.doRead = accept_few
-
-
-def accept_pending(port: Any) -> None:
-    """Accept what the kernel has accepted for us: closing the port would reset it, and its request."""
-    if hasattr(port, "doRead"):
-        port.doRead()
-
-
 def hung_up(link: Any) -> bool:
     """Whether the other side has ended its sending, or the connection, though we may not have read so far.
 
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -20,8 +20,8 @@
 from .door import MOVED_LAST_US
 from .handover import Handover, Inheritance, adopt
 from .http.management import ACCEPTS, MOST_CALLS, ManagementFront
+from .listening import ListeningPort
 from .logs import LimitedLogger
-from .net import accept_pending, bound_accepts
 from .operations import Operations
 from .state import Call, StateFile
 
@@ -83,6 +83,7 @@
         self._management: ManagementFront | None = None
         self._handover = Handover(reactor, clock, self._log, folder, listen, self)
         self._port: Any = None
+        self._listening: ListeningPort
         self._stopping, self._stop_at, self._able_by = False, 0, 0
         self._superseded = False
         self._wanted: Settings  # what is in force, or will be when clients have left what was before
@@ -147,7 +148,10 @@
             self.engine.recall([str(node).encode() for node in inherited.known.get("seen", [])])
         self.address = (host, self._port.getHost().port)
         self.front.port = self._port
-        bound_accepts(self._port, lambda: self.front.room)
+        front = self.front
+        self._listening = ListeningPort(
+            self._port, self.clock, lambda: front.room, lambda: front.accepting and not front.held
+        )
         self.operations.restore()
         self.engine.start(self.known(inherited.known if inherited is not None else {}))
         if self.companion is not None:
@@ -183,7 +187,7 @@
         if self.companion is not None:
             calls.fleet = self.companion.call
         listener = self._reactor.listenTCP(port, calls, backlog=BACKLOG, interface=host)
-        bound_accepts(listener, lambda: min(ACCEPTS, MOST_CALLS))
+        ListeningPort(listener, self.clock, lambda: min(ACCEPTS, MOST_CALLS), lambda: True)
         self.management_address = host, listener.getHost().port
 
     def known(self, told: dict[str, Any]) -> NodeList:
@@ -308,8 +312,9 @@
         if self.front.held and self.clock.now_us() < self._stop_at + LAST_ACCEPT_US:
             self.clock.call_later(ACCEPT_STEP_US, self._refuse_new)
             return
-        accept_pending(self._port)
-        if self.front.held and self.clock.now_us() < self._stop_at + LAST_ACCEPT_US:
+        self._listening.accept_pending()
+        waits = self.front.held or self._listening.short
+        if waits and self.clock.now_us() < self._stop_at + LAST_ACCEPT_US:
             self.clock.call_later(ACCEPT_STEP_US, self._refuse_new)  # more may wait than there were places
             return
         self.front.listening = self.front.accepting = False
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from itertools import pairwise
 from pathlib import Path
 from types import SimpleNamespace
@@ -19,7 +20,7 @@
 from gaugesail.http.bricks import BrickConnection, IdleBook
 from gaugesail.http.discovery import BadList, read_list, split_address
 from gaugesail.http.parser import BadMessage, Data, End, Head, Parser
-from gaugesail.net import bound_accepts
+from gaugesail.listening import ListeningPort
 from gaugesail.rehearsal import defaults
 from marllift.interface import Result
 
@@ -134,16 +135,21 @@
     class Port:
         numberAccepts = 100  # noqa: N815
 
+        def __init__(self) -> None:
+            self.socket = socket.create_server(("127.0.0.1", 0))
+
         def doRead(self) -> None:
             seen.append(self.numberAccepts)
 
     seen: list[int] = []
     port, room = Port(), [7]
-    bound_accepts(port, lambda: room[0])
+    clock: Any = None  # nothing is short
+    ListeningPort(port, clock, lambda: room[0], lambda: True)
     port.doRead()
     room[0] = -2
     port.doRead()
     assert seen == [7, 1]
+    port.socket.close()
 
 
 def test_the_list_keeps_zero_and_turns_milliseconds_into_the_clocks_microseconds() -> None:
