Decide in one place what may be sent and started, check it at run time, and trace it

The conditions stood in Engine._send, Attempt.moot, BrickPool and the initiator. Change: core/rules.py: deny_send and deny_start, asked by the engine and, through AttemptSink.may_start, by both transports right before a first byte, where the deadline is now looked at too; RuleMonitor, told of each first byte, list and end, counts breaches (second copy, after the answer, out of time, window over, draining node, a connection closed with its request in hand) as rule_broken_* in the counts line and logs the steps of the request. core/trace.py keeps the latest 4096 steps with request ids and reasons, read at the second address (GET /trace, GET /trace/ID). Counts tell reasons: denied_*, again_after_*, closed_*.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -17,6 +17,8 @@
 from marllift.interface import NodeId, Result
 
 from .ports import Attempt, Call, Clock, Discovery, Logger, NodeTransport, Order, Reply, Sink, Source
+from .rules import Breach, Denial, RuleMonitor, deny_send, deny_start
+from .trace import Step, Trace
 
 MOST_IDS = 10_000  # of nodes that a list has ever named
 GUARD_US = 4_000  # the last answer leaves this long before the client's time is up
@@ -33,6 +35,7 @@
     give_up_us: int
     attempts: int = 0
     out: Attempt | None = None
+    latest: Result | None = None  # of its attempts
 
 
 class Engine:
@@ -67,6 +70,8 @@
         self._next_ticket = 1
         self._busy = False
         self.counts: Counter[str] = Counter()
+        self.trace = Trace()
+        self.rules = RuleMonitor(settings.drain_grace_us, log, self.trace)
         self.away: set[NodeId] = set()  # in maintenance
         self._seen: OrderedDict[NodeId, None] = OrderedDict()
         self.ready = self.ended = False
@@ -106,16 +111,19 @@
         # It is the new one's error: whoever sent the first neither hears of it nor loses anything.
         if order.name in self._names:
             self.counts["id_in_use"] += 1
+            self._note(order.name, Step.TURNED_AWAY, "id in use")
             self._clock.call_later(0, lambda: reply.failed("id in use"))
             return 0
         if len(self._open) >= self._max_open or self.ended:
             self.counts["refused_at_door"] += 1
+            self._note(order.name, Step.TURNED_AWAY, "ending" if self.ended else "too many open")
             self._clock.call_later(0, lambda: reply.refused(order.terms.hold_off_us))
             return 0
         entry = _Open(ticket, order, reply, now + order.timeout_us)
         self._open[ticket] = entry
         self._names[order.name] = ticket
         self.counts["taken"] += 1
+        self._note(order.name, Step.TAKEN, f"{order.timeout_us // 1000} ms")
         self._at(entry.give_up_us - GUARD_US, _DEADLINE, ticket)
         self._feed(
             api.Request(
@@ -144,6 +152,7 @@
         if entry is not None:
             self._close(entry)
             self.counts["gone"] += 1
+            self._note(entry.order.name, Step.CLIENT_LEFT)
             self._feed(api.ClientGone(ticket))
             if entry.out is not None:
                 self._withdraw(entry.out)
@@ -152,7 +161,10 @@
 
     def listed(self, news: api.NodeList) -> None:
         """News of the list goes to the module at once: the drain rule's time runs."""
+        now = self._clock.now_us()
+        self.rules.listed(news, now)
         for line in news.nodes:
+            self.trace.note(now, line.node.decode(errors="replace"), Step.LISTED, line.mode.name.lower())
             self._seen[line.node] = None
             self._seen.move_to_end(line.node)
         while len(self._seen) > MOST_IDS:  # on a long day bricks come and go by the thousand
@@ -175,6 +187,7 @@
     def retune(self, settings: api.Settings) -> None:
         """Other settings for what is taken from now on."""
         self.settings = settings
+        self.rules.grace_us = settings.drain_grace_us
         self._events.append(api.Retune(settings))
         self._run()
 
@@ -222,6 +235,7 @@
         attempt.begun = True
         entry = self._open.get(attempt.ticket)
         sink: Sink | None = None
+        self._note(attempt.name, Step.STREAMED)
         if entry is not None:
             self._close(entry)
             self.counts["served"] += 1
@@ -244,6 +258,8 @@
         if attempt.done:
             return
         attempt.done = True
+        self.rules.ended(attempt)
+        self._note(attempt.name, Step.ENDED, result.name.lower())
         self._out.pop((attempt.ticket, attempt.number), None)
         if attempt.begun:
             self._names.pop(attempt.name, None)
@@ -253,7 +269,7 @@
         entry = self._open.get(attempt.ticket)
         final = entry is None
         if entry is not None:
-            entry.out = None
+            entry.out, entry.latest = None, result
             if result is Result.SERVED:
                 final = True
                 self._close(entry)
@@ -352,10 +368,11 @@
         deadline = 0 if entry is None else entry.give_up_us - GUARD_US
         if entry is not None and action.patience_us:
             deadline = min(deadline, now + action.patience_us)
-        # Nothing is sent after the end, past the cap, past the time, or beside an attempt that is out.
-        late = 0 < action.before_us <= now
-        if entry is None or entry.out is not None or number >= most or deadline <= now or late:
+        out = entry is not None and entry.out is not None
+        denial = deny_send(entry is None, out, number, most, deadline, action.before_us, now)
+        if entry is None or denial is not None:
             self.counts["moot_send"] += 1
+            self._denied(entry.order.name if entry is not None else "", denial)
             if entry is not None and entry.out is None:
                 entry.attempts += 1
             self._feed(api.Outcome(action.request, number, action.node, Result.MOOT, 0, entry is None))
@@ -365,10 +382,13 @@
             action.request, number, action.node, order.shard, order.name, order.payload, now, deadline,
             before_us=action.before_us, left=lambda: self._left(entry),
         )  # fmt: skip
+        if entry.latest is not None:
+            self.counts[f"again_after_{entry.latest.name.lower()}"] += 1
         entry.attempts += 1
         entry.out = attempt
         self._out[(attempt.ticket, number)] = attempt
         self.counts["sent"] += 1
+        self._note(order.name, Step.SENT, f"{number} to {action.node.decode(errors='replace')}")
         self._at(deadline, _ATTEMPT, attempt)
         if action.node in self.away:  # whatever the module says: nothing new until the call back
             self.attempt_ended(attempt, Result.NO_CONNECTION)
@@ -407,6 +427,32 @@
             return True
         return False
 
+    # ---- the rules ----
+
+    def _note(self, subject: str, step: Step, detail: str = "") -> None:
+        self.trace.note(self._clock.now_us(), subject, step, detail)
+
+    def _denied(self, request: str, denial: Denial | None) -> None:
+        if denial is not None:
+            self.counts[f"denied_{denial.value}"] += 1
+            self._note(request, Step.DENIED, denial.value)
+
+    def may_start(self, attempt: Attempt) -> bool:
+        """Asked by the transport right before the first byte of an attempt."""
+        denial = deny_start(attempt, self._clock.now_us())
+        self._denied(attempt.name, denial)
+        return denial is None
+
+    def attempt_started(self, attempt: Attempt) -> None:
+        """Its first byte leaves."""
+        self._note(attempt.name, Step.STARTED)
+        self.rules.began(attempt, self._clock.now_us())
+
+    def closed_unanswered(self, ticket: int) -> None:
+        """A front has closed a client's connection with this request in hand."""
+        if (entry := self._open.get(ticket)) is not None:
+            self.rules.broke(Breach.CLOSED_UNANSWERED, entry.order.name)
+
     # ---- final answers ----
 
     def _close(self, entry: _Open) -> None:
@@ -423,6 +469,8 @@
             self._tell(entry, "failed", reason)
 
     def _tell(self, entry: _Open, how: str, *what: Any) -> Any:
+        if how != "left":
+            self._note(entry.order.name, Step.ANSWERED, how)
         try:
             return getattr(entry.reply, how)(*what)
         except Exception as error:  # a front's fault stays with its one client
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -88,19 +88,23 @@
     deadline_us: int
     done: bool = False
     begun: bool = False  # its answer is being passed on: it is final whatever happens to the rest
-    before_us: int = 0  # not begun by then, it is moot: what it spends was ours until then; 0: at any time
-    over: bool = False  # the request has its answer: what is not yet written must not be
+    before_us: int = 0  # it must have begun by then: what it spends was ours until then; 0: at any time
+    over: bool = False  # the request has its answer: what is not yet written must not be (rules.deny_start)
     connection: Any = None  # the transport's own
     left: Callable[[], bool] | None = None  # its client has gone
 
-    def moot(self, now: int) -> bool:
-        """Asked at the first byte: its request has its answer, what it spends is no longer this head's, or
-        nobody waits for it any more."""
-        return self.over or 0 < self.before_us <= now or (self.left is not None and self.left())
-
 
 class AttemptSink(Protocol):
-    """How a transport reports: each attempt ends once, and may begin to be answered before."""
+    """How a transport reports: each attempt starts at most once, ends once, and may begin to be answered
+    before."""
+
+    def may_start(self, attempt: Attempt) -> bool:
+        """Asked right before its first byte leaves; where it may not, it ends as moot."""
+        ...
+
+    def attempt_started(self, attempt: Attempt) -> None:
+        """Its first byte leaves now."""
+        ...
 
     def attempt_began(self, attempt: Attempt, source: Source) -> Sink | None: ...
     def attempt_ended(self, attempt: Attempt, result: Result, answer: Any = None) -> None: ...
--- /dev/null
+++ b/gaugesail/core/trace.py
@@ -0,0 +1,59 @@
+"""The latest steps of requests and nodes, in memory, for whoever has to find out what happened.
+
+Nothing is logged for a single request; this is what answers the question afterwards.  It is read at the
+second address (``GET /trace`` and ``GET /trace/ID``), and a breach of a rule logs its request's steps.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from typing import NamedTuple
+
+MOST_STEPS = 4096
+
+
+class Step(Enum):
+    """What may happen to a request, an attempt or a node."""
+
+    TAKEN = "taken"
+    TURNED_AWAY = "turned_away"  # not taken
+    SENT = "sent"  # handed to the transport
+    DENIED = "denied"  # not sent, or not begun; the detail is the reason
+    STARTED = "started"  # its first byte leaves
+    ENDED = "ended"  # the attempt; the detail is its result
+    STREAMED = "streamed"  # its answer is passed on from its first bytes
+    ANSWERED = "answered"  # the final answer
+    CLIENT_LEFT = "client_left"
+    LISTED = "listed"  # a node; the detail is its mode
+
+
+class Entry(NamedTuple):
+    """One step.  ``at_us`` is the head's clock, ``subject`` a request's or a node's id."""
+
+    at_us: int
+    subject: str
+    step: Step
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.at_us / 1e6:.6f} {self.subject} {self.step.value} {self.detail}".rstrip()
+
+
+class Trace:
+    """A ring of steps."""
+
+    def __init__(self) -> None:
+        self._entries: deque[Entry] = deque(maxlen=MOST_STEPS)
+
+    def note(self, now_us: int, subject: str, step: Step, detail: str = "") -> None:
+        """Enter a step; the oldest goes."""
+        self._entries.append(Entry(now_us, subject, step, detail))
+
+    def of(self, subject: str) -> list[Entry]:
+        """All that is known of one request or node, the oldest first."""
+        return [entry for entry in self._entries if entry.subject == subject]
+
+    def latest(self, count: int) -> list[Entry]:
+        """The latest steps, the oldest first."""
+        return list(self._entries)[-count:]
--- a/gaugesail/door.py
+++ b/gaugesail/door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from enum import Enum
 from typing import Any
 
 from twisted.internet.protocol import Factory
@@ -16,6 +17,16 @@
 STEP_US = 100_000
 
 
+class CloseReason(Enum):
+    """Why a head closes a client's connection; counted as ``closed_<reason>``."""
+
+    LAST_ANSWER = "last_answer"  # its answer was to be the last
+    IDLE = "idle"  # clients are sent away, or the head ends
+    MADE_ROOM = "made_room"
+    BAD_REQUEST = "bad_request"
+    SILENT = "silent"
+
+
 class Drain:
     """Closes what is idle, a few connections at a time, for as long as it is on."""
 
--- a/gaugesail/http/bricks.py
+++ b/gaugesail/http/bricks.py
@@ -158,11 +158,13 @@
         if job.over:
             self.broke()
             return
-        if job.attempt is not None and job.attempt.moot(self._pool.clock.now_us()):
+        if not _may_start(job):
             self.broke()
             self._pool.finish(job, Result.MOOT)
             return
         self.state = "sent"
+        if job.sink is not None and job.attempt is not None:
+            job.sink.attempt_started(job.attempt)
         connection.release(job, self._held)
         self._held = b""
 
@@ -488,6 +490,11 @@
                 self.link.abortConnection()
 
 
+def _may_start(job: _Job) -> bool:
+    """Whether the first byte may leave; a probe's and a staged request's always may."""
+    return job.attempt is None or job.sink is None or job.sink.may_start(job.attempt)
+
+
 def _result(head: Head) -> Result:
     if head.status == 200:
         return Result.SERVED
@@ -666,7 +673,7 @@
         now = self.clock.now_us()
         while brick.waiting:
             job = brick.waiting[0]
-            if job.over or (job.attempt is not None and job.attempt.moot(self.clock.now_us())):
+            if job.over or not _may_start(job):
                 brick.waiting.popleft()
                 self.finish(job, Result.MOOT)
                 continue
@@ -713,6 +720,8 @@
             exchange = attempt.payload
             body = exchange.body.read()
             left = job.deadline_us - self.clock.now_us()
+            if job.sink is not None:
+                job.sink.attempt_started(attempt)
             request = exchange.head(f"{line.host}:{line.port}", left, len(body)) + body
         connection.start(job, request)
 
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -16,7 +16,7 @@
 from ..buffers import Body, BufferPool, PoolEmpty
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order, Sink, Source
-from ..door import Door
+from ..door import CloseReason, Door
 from ..net import Connection, Emptied, unread
 from .bricks import READ_BYTES
 from .parser import WHOLE_BODY, BadMessage, Data, Head, Parser
@@ -398,7 +398,7 @@
         if self._answered:
             self._answered = False
             if not self._keep or self._front.leaving:
-                self.close()
+                self.close(CloseReason.LAST_ANSWER)
             return
         if order is None:
             ready = self._front.ready
@@ -435,7 +435,7 @@
         """What came can't be taken: the answer, unless it has one, and the end of the connection."""
         if self._answered:
             self._answered = False
-            self.close(linger=True)
+            self.close(CloseReason.BAD_REQUEST, linger=True)
         else:
             self.answer(status, text.encode(), close=True, hold_off_us=hold_off_us)
 
@@ -449,7 +449,7 @@
         """The request in hand has its whole answer."""
         self._ticket = None
         if not keep:
-            self.close(linger=linger)
+            self.close(CloseReason.BAD_REQUEST if linger else CloseReason.LAST_ANSWER, linger=linger)
             return
         if self._paused:
             self._pause(False)
@@ -553,11 +553,16 @@
 
     # -- closing --
 
-    def close(self, linger: bool = False, at_once: bool = False) -> None:
+    def close(
+        self, why: CloseReason = CloseReason.IDLE, linger: bool = False, at_once: bool = False
+    ) -> None:
         """The client may be sending still: closing at once would reset the connection, and with it what our
         kernel still has of the answer.  So our side ends, and what comes is thrown away, within bounds."""
         if self.closing or self.lost:
             return
+        if self._ticket:
+            self._front.engine.closed_unanswered(self._ticket)
+        self._front.engine.counts[f"closed_{why.value}"] += 1
         self.closing, self._lingering = True, linger
         self._stuck_since = self._front.clock.now_us()
         self.link.unregisterProducer()
@@ -588,7 +593,7 @@
                 self._fail(408, "the request took too long to arrive")
         elif not self.asked and self._ticket is None and now - self.opened_at > HEAD_US:
             self._front.engine.counts["silent"] += 1
-            self.close(at_once=True)
+            self.close(CloseReason.SILENT, at_once=True)
 
     def _due(self) -> int:
         """Until when more of the request that is arriving must come."""
@@ -748,7 +753,7 @@
                 if best == 3:
                     break
         if victim is not None:
-            victim.close(at_once=True)
+            victim.close(CloseReason.MADE_ROOM, at_once=True)
         return victim is not None
 
     def used(self, connection: ClientConnection) -> None:
--- a/gaugesail/http/management.py
+++ b/gaugesail/http/management.py
@@ -27,6 +27,7 @@
     @property
     def serving(self) -> bool: ...
     def drain(self, on: bool) -> None: ...
+    def trace(self, subject: str | None) -> str: ...
     def maintain(self, node: bytes, on: bool) -> bool: ...
 
 
@@ -137,6 +138,10 @@
                 if not self._head.maintain(node, word == b"maint"):
                     return 404, "no list has ever named that brick"
                 return 200, "out of use" if word == b"maint" else "in use"
+            case [b"", b"trace", *rest] if len(rest) < 2:
+                if method not in ("GET", "HEAD"):
+                    return 405, "use GET"
+                return 200, self._head.trace(rest[0].decode(errors="replace") if rest else None)
             case [b"", b"fleet", *rest] if self.fleet is not None:
                 return self.fleet(method, [word.decode(errors="replace") for word in rest])
         return 404, "no such call"
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -413,9 +413,11 @@
                 return
             job = book.waiting.popleft()
             attempt = job.attempt
-            if job.done or (attempt is not None and (attempt.done or attempt.moot(self.clock.now_us()))):
+            if job.done or (attempt is not None and not job.sink.may_start(attempt)):
                 self.finish(job, Result.MOOT)
                 continue
+            if attempt is not None:
+                job.sink.attempt_started(attempt)
             session.start(job)
 
     def finish(self, job: _Job, result: Result) -> None:
--- a/gaugesail/operations.py
+++ b/gaugesail/operations.py
@@ -11,6 +11,8 @@
 from .core.ports import Logger
 from .state import Call, State, StateError, StateFile
 
+TRACE_SHOWN = 500  # steps at a call
+
 
 class NotYet(Exception):
     """The process does not know yet what was asked of the one before it."""
@@ -75,6 +77,12 @@
             self._carry_out(call)
             self._file.write(self._state(call))  # the other has not kept what was just asked of this one
 
+    def trace(self, subject: str | None) -> str:
+        """The latest steps, or all that is known of one request or node; a line each."""
+        trace = self._engine.trace
+        entries = trace.latest(TRACE_SHOWN) if subject is None else trace.of(subject)
+        return "\n".join(map(str, entries)) or "nothing is known"
+
     def drain(self, on: bool) -> None:
         self._ask(Call(None, on))
 
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -355,7 +355,7 @@
             self.pass_on()
         self._sweeps += 1
         if self._sweeps % REPORT_EVERY == 0:
-            counts = self.engine.counts + self.engine.refusals
+            counts = self.engine.counts + self.engine.refusals + self.engine.rules.broken
             fresh = dict(counts - self._reported)
             self._reported = Counter(counts)
             self._log.info(
