--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -231,7 +231,8 @@
             "known": {"revision": 0, "complete": True, "members": []}, "settings": defaults.settings(),
         }  # fmt: skip
         for path, value in changes.items():
-            defaults.change(config, path.replace("__", "."), value)
+            tree = config if path.startswith("limits__") else config["settings"]
+            defaults.change(tree, path.replace("__", "."), value)
         (folder / "config").write_text(json.dumps(config))
         self._arguments = arguments
         self.log = folder / "log"
