Count a request's time from when it came to our kernel, not from when it was read

Cause: http/front.py dataReceived took the moment of reading for that of arrival, so that a request on a connection that waited to be accepted (all places in use, no descriptor), or behind a standstill of the process, had its whole time anew: the node was told up to the wait too much, and the answer could come after the client's time. Where the clock is a test's own the kernel's figure is no span of it and is left (Clock.runs_with_kernel).

--- a/gaugesail/core/clock.py
+++ b/gaugesail/core/clock.py
@@ -95,6 +95,10 @@
     def now_us(self) -> int:
         return (self._monotonic_ns() + self._offset) // 1000
 
+    @property
+    def runs_with_kernel(self) -> bool:
+        return self._monotonic_ns in (time.monotonic_ns, boot_ns)
+
     @property
     def polled_us(self) -> int:
         return self.now_us() if self._polled_us is None else self._polled_us
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -25,6 +25,11 @@
         """What had come to any socket by then was found and handled, but what lies behind it."""
         ...
 
+    @property
+    def runs_with_kernel(self) -> bool:
+        """Whether spans that the kernel measures are spans of this clock too."""
+        ...
+
     def call_later(self, delay_us: int, call: Callable[[], None]) -> Call: ...
 
 
--- a/gaugesail/http/front.py
+++ b/gaugesail/http/front.py
@@ -17,7 +17,7 @@
 from ..core.engine import Engine
 from ..core.ports import Clock, Logger, Order, Sink, Source
 from ..door import CloseReason, Door
-from ..net import Connection, Emptied, unread
+from ..net import Connection, Emptied, unread, waited_us
 from .bricks import READ_BYTES
 from .parser import WHOLE_BODY, BadMessage, Data, Head, Parser
 
@@ -240,15 +240,16 @@
         if self._cut:
             return
         now = self.heard_us = self._front.clock.now_us()
+        came = now - waited_us(self.link, self._front.clock)
         if self._parser.between:
             self._since = now
         self._parser.feed(data)
         while self._marks and self._marks[0][0] <= self._parser.taken:
             self._marks.popleft()
-        if self._marks and (now - self._marks[-1][1] < MARK_US or len(self._marks) >= MOST_MARKS):
-            self._marks[-1] = self._parser.fed, now
+        if self._marks and (came - self._marks[-1][1] < MARK_US or len(self._marks) >= MOST_MARKS):
+            self._marks[-1] = self._parser.fed, came
         else:
-            self._marks.append((self._parser.fed, now))
+            self._marks.append((self._parser.fed, came))
         if self._ticket is None:
             self._read()
         self._hold()
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -18,6 +18,9 @@
 from .core.ports import Clock
 
 LOOK_US = 40_000  # a look at the sockets that is older is taken again, at the one that matters
+WAITED_LEAST_MS = 20  # shorter waits unread are of no account
+WAITED_MOST_MS = 60_000  # beyond that no client waits, and the figure is taken for none
+_TCP_INFO = struct.Struct("=52xI")  # struct tcp_info up to tcpi_last_data_recv, milliseconds
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -75,6 +78,23 @@
     return bool(_polled(link) & (ENDED | select.POLLIN))
 
 
+def waited_us(link: Any, clock: Clock) -> int:
+    """For how long the latest bytes that have come lay unread in our kernel, in microseconds, as the kernel
+    counts it (tcp(7), ``TCP_INFO``); 0 where it does not say, or where that is of no account.
+
+    A connection may wait to be accepted, and this process may have stood still.
+    """
+    connection = getattr(link, "socket", None)
+    if not clock.runs_with_kernel or not isinstance(connection, socket.socket):
+        return 0  # in memory
+    try:
+        told = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    except OSError:
+        return 0
+    waited_ms: int = _TCP_INFO.unpack(told)[0] if len(told) == _TCP_INFO.size else 0
+    return waited_ms * 1000 if WAITED_LEAST_MS <= waited_ms <= WAITED_MOST_MS else 0
+
+
 def _polled(link: Any) -> int:
     connection = getattr(link, "socket", None)
     if not isinstance(connection, socket.socket) or connection.fileno() < 0:
--- a/gaugesail/rehearsal/soak/heads.py
+++ b/gaugesail/rehearsal/soak/heads.py
@@ -37,7 +37,6 @@
         self.up = self._closed = False
         self.starts: list[float] = []  # seconds that each took to be ready
         self._revision = 0
-        self._stopped_at = 0.0
         self._log_read = 0
         self._listening = False  # the process that runs has said so
         process.with_fleet = False
@@ -146,13 +145,13 @@
     # ---- standing still ----
 
     def pause(self) -> None:
-        self._stopped_at = self.reactor.seconds()
+        self._judge.exemptions.stops(self.name, self.reactor.seconds())
         self.process.pause()
 
     def go_on(self) -> None:
         if self.process.stopped:
             self.process.go_on()
-            self._judge.exemptions.stopped(self.name, self._stopped_at, self.reactor.seconds())
+            self._judge.exemptions.goes_on(self.name, self.reactor.seconds())
 
     # ---- a new configuration ----
 
--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -87,9 +87,15 @@
         self._stopped: dict[str, list[tuple[float, float]]] = {}
         self._broken: dict[str, float] = {}
 
-    def stopped(self, head: str, begin: float, end: float) -> None:
-        """The process stood still (SIGSTOP)."""
-        self._stopped.setdefault(head, []).append((begin, end))
+    def stops(self, head: str, now: float) -> None:
+        """The process stands still from now on (SIGSTOP)."""
+        self._stopped.setdefault(head, []).append((now, float("inf")))
+
+    def goes_on(self, head: str, now: float) -> None:
+        """It runs again."""
+        spans = self._stopped.get(head, [])
+        if spans and spans[-1][1] == float("inf"):
+            spans[-1] = spans[-1][0], now
 
     def standstill(self, head: str, since: float, until: float) -> float:
         """For how long of a span it stood still."""
--- a/tests/test_time_in_kernel.py
+++ b/tests/test_time_in_kernel.py
@@ -17,6 +17,7 @@
 
 SLACK_MS = 150
 TIMEOUT_MS = 1500
+AIM_US = "1300000"  # so that what has waited is still worth sending
 
 
 @pytest.fixture(scope="module")
@@ -38,7 +39,7 @@
 
 def test_while_no_descriptor_is_free(tmp_path: Path, library: Path) -> None:
     node = HangingNode(0)
-    with faulty(tmp_path, library, [node]) as head:
+    with faulty(tmp_path, library, [node], categories__0__aim_us=AIM_US) as head:
         head.faults.fail(Call.ACCEPT, errno.EMFILE, 1000)
         head.ask("waits", 0, TIMEOUT_MS)
         time.sleep(0.5)
@@ -48,7 +49,7 @@
 
 def test_while_the_process_stands_still(tmp_path: Path, library: Path) -> None:
     node = HangingNode(0)
-    with faulty(tmp_path, library, [node]) as head:
+    with faulty(tmp_path, library, [node], categories__0__aim_us=AIM_US) as head:
         head.process.send_signal(signal.SIGSTOP)
         head.ask("waits", 0, TIMEOUT_MS)
         time.sleep(0.5)
@@ -58,7 +59,7 @@
 
 def test_while_all_places_are_in_use(tmp_path: Path, library: Path) -> None:
     node = HangingNode(0)
-    with faulty(tmp_path, library, [node], limits__sockets="40") as head:
+    with faulty(tmp_path, library, [node], limits__sockets="40", categories__0__aim_us=AIM_US) as head:
         others = [socket.create_connection((HOST, head.port)) for _ in range(40)]
         time.sleep(0.02)
         head.ask("waits", 0, TIMEOUT_MS)
