Let the soak not start a head that it has closed, and say how a head was told

Seen: a restart that was due as the soak ended left a process behind; a drain written on a watch whose recv was made to fail was judged as read.

--- a/gaugesail/rehearsal/soak/discovery.py
+++ b/gaugesail/rehearsal/soak/discovery.py
@@ -94,6 +94,8 @@
             return
         reached = now + TOLD_LATEST_S if self.reachable else float("inf")
         node.drained_at[self.head] = now if told else reached
+        if told:
+            node.told_by[self.head] = f"{len(self._watches)} watches at {now:.3f}"
         if not told:
             self._untold.append(node)
 
@@ -108,7 +110,9 @@
 
     def _told_by(self, latest: float) -> None:
         for node in self._untold:
-            node.drained_at[self.head] = min(latest, node.drained_at[self.head])
+            if latest < node.drained_at[self.head]:
+                node.drained_at[self.head] = latest
+                node.told_by[self.head] = f"its list at {latest:.3f}"
 
     # ---- troubles ----
 
--- a/gaugesail/rehearsal/soak/heads.py
+++ b/gaugesail/rehearsal/soak/heads.py
@@ -58,6 +58,8 @@
 
     def start(self, then: Callable[[], None] = lambda: None) -> None:
         """Start a process, and let clients come once it is ready."""
+        if self._closed:
+            return
         self.write()
         self.discovery.told_all()
         self.faults.clear()
--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -217,6 +217,8 @@
     def sent_to_draining(self, asked: Asked, node: str, since_told: float) -> None:
         """An attempt came so long after its head was told that the node drains or is gone."""
         stood = self.exemptions.standstill(asked.head, self.now() - since_told, self.now())
+        if self.exemptions.connections_break(asked.head, self.now() - since_told):
+            stood += TOLD_LATEST_S  # what was written to it may have been lost with its connection
         if since_told > plan.DRAIN_GRACE_S + HARNESS_S + stood:
             self.broke(Rule.DRAIN, asked.head, f"{asked.name} at {node}, told {since_told:.3f} s before")
 
--- a/gaugesail/rehearsal/soak/nodes.py
+++ b/gaugesail/rehearsal/soak/nodes.py
@@ -48,6 +48,7 @@
         self.cold: ColdNodeWindow | None = None
         self._free_at = 0.0  # when its work in hand is done, while it is cold
         self.drained_at: dict[str, float] = {}  # by head: when it was told
+        self.told_by: dict[str, str] = {}  # by head: how
         self._refused_s = self._refused_until = 0.0
         self._late: dict[HttpConnection, float] = {}  # by connection: how late it was taken
         self.silent = False  # it has vanished: what is open stays open, and nothing is said
@@ -88,7 +89,8 @@
         if asked is None:
             return
         if (told := self.drained_at.get(asked.head)) is not None:
-            self._judge.sent_to_draining(asked, self.name, self._judge.now() - told - late_s)
+            how = f"{self.name} by {self.told_by.get(asked.head, 'the time')}"
+            self._judge.sent_to_draining(asked, how, self._judge.now() - told - late_s)
         if self.cold is not None:
             self._take_cold(asked, float(head.headers["x-io"].partition("units=")[2].partition(",")[0]))
         self._act(connection, asked, asked.arrivals[-1])
