--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -220,7 +220,7 @@
 
     def __init__(
         self, folder: Path, library: Path, nodes: list[HangingNode], arguments: tuple[str, ...] = (),
-        **changes: str,
+        management: str = "", **changes: str,
     ) -> None:  # fmt: skip
         self.folder, self.nodes = folder, nodes
         self.discovery = ListService(nodes)
@@ -230,6 +230,8 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"revision": 0, "complete": True, "members": []}, "settings": defaults.settings(),
         }  # fmt: skip
+        if management:
+            config["management"] = management
         for path, value in changes.items():
             tree = config if path.startswith("limits__") else config["settings"]
             defaults.change(tree, path.replace("__", "."), value)
@@ -283,10 +285,10 @@
 @contextmanager
 def faulty(
     folder: Path, library: Path, nodes: list[HangingNode], *arguments: str, ahead_s: float = 0.0,
-    **changes: str,
+    management: str = "", **changes: str,
 ) -> Iterator[FaultyHead]:  # fmt: skip
     """A head that has started, with its wall clock so far ahead, and is ended whatever comes."""
-    head = FaultyHead(folder, library, nodes, arguments, **changes)
+    head = FaultyHead(folder, library, nodes, arguments, management, **changes)
     head.faults.step_wall_clock(ahead_s)
     try:
         yield head.start()
