Take a store that failed up again, with backoff, as a process that has just started

Cause: FleetAgent._carry_out set _store to None after one StoreFailed, nothing opened it again, and FleetNode.store_failed leaves its seat for good; a store that could not be opened at the start was given up as well. With two of three keepers the quorum is gone. Ruled out: the store itself, which rolls back and reads whole once the disk writes again. Change: the agent asks for the store after 0.5 s, doubled up to 8 s, with a quarter of jitter so that heads whose disks share a cause do not try in step; it has to open, read whole and keep a write; then this head's place begins anew from it, under a new process number and link, as after a kill, which the agreement and its schedules already bear: what was said before, or of the failed save kept, counts as another process's. Until then the head goes on as one without a store, and promises nothing that needs one.

--- a/gaugesail/fleet/agent.py
+++ b/gaugesail/fleet/agent.py
@@ -1,12 +1,16 @@
 """Drives the fleet's decisions in a head: its store, its link, its clock, and its gateway's shares.
 
 In this order, whatever happens: what is to be kept is written; then the gateway hears what it may spend; then
-the others hear what this head says.  Where the write fails, nothing of the rest is done.
+the others hear what this head says.  Where the write fails, nothing of the rest is done, and the head goes on
+as one without a store.  The store is asked for again, with backoff; once it can be written it is read whole,
+and this head's place begins anew from it, as after a restart of the process: under another process number, so
+that nothing that was said before, or may have been kept of the save that failed, counts as this one's word.
 """
 
 from __future__ import annotations
 
 import json
+import random
 import secrets
 from collections.abc import Callable
 from typing import Any
@@ -29,6 +33,7 @@
 AGAIN_US = 300_000  # until a place or a store that another process holds is asked for again
 SWEEP_US = 5_000_000
 LEAST_US = 1_000  # between two ticks
+STORE_AGAIN_US, STORE_AGAIN_MOST_US = 500_000, 8_000_000  # until a store that failed is asked for again
 
 
 class FleetAgent:
@@ -39,9 +44,8 @@
         process: int | None = None,
     ) -> None:  # fmt: skip
         self._reactor, self._clock, self._settings, self._log = reactor, clock, settings, log
-        self.process = process if process is not None else secrets.randbits(62) | 1
-        self.wire = Wire(settings.charter.name, settings.head, self.process, settings.key)
-        self.link = Link(reactor, clock, self.wire, log, self._address, self._heard)
+        self._process_given = process
+        self._new_process()
         self.node: FleetNode | None = None
         self.address: tuple[str, int] | None = None
         self._store: FleetStore | None = None
@@ -49,7 +53,17 @@
         self._terms: api.Settings | None = None
         self._tick: Call | None = None
         self._tick_at = 0
-        self._closed = self._waiting = False
+        self._closed = self._waiting = self._running = False
+        self._store_again_us, self._jitter = STORE_AGAIN_US, random.SystemRandom()
+        self._store_asked = False  # it is to be asked for again
+
+    def _new_process(self) -> None:
+        """A number and a link of its own, under which this head speaks from now on."""
+        settings = self._settings
+        self.process = self._process_given or secrets.randbits(62) | 1
+        self._process_given = None
+        self.wire = Wire(settings.charter.name, settings.head, self.process, settings.key)
+        self.link = Link(self._reactor, self._clock, self.wire, self._log, self._address, self._heard)
 
     # ---- life ----
 
@@ -62,8 +76,10 @@
         if self._closed:
             return
         try:
-            if self.address is None:
-                self.address = self.link.listen(*self._settings.listen)
+            if not self.link.listening:
+                host, port = self.address or self._settings.listen
+                self.address = self.link.listen(host, port)
+            address = self.address or self._settings.listen
             loaded = self._load()
         except (CannotListenError, StoreBusy) as error:
             # The process before this one; nothing of a limit is spent here until it has gone.
@@ -73,7 +89,7 @@
             self._clock.call_later(AGAIN_US, self._begin)
             return
         settings, now = self._settings, self._clock.now_us()
-        host, port = settings.advertise or self.address
+        host, port = settings.advertise or address
         self.node = FleetNode(
             settings.charter, digest(settings.charter), settings.head, f"{host}:{port}", self.process,
             now // 1000, loaded, secrets.randbits(63), now,
@@ -84,8 +100,10 @@
             keeper=self.node.keeper, store=loaded is not None, process=self.process,
         )  # fmt: skip
         self._step(lambda node, at: node.tick(at))
-        self._wants()
-        self._sweep()
+        if not self._running:
+            self._running = True
+            self._wants()
+            self._sweep()
 
     def _load(self) -> Loaded | None:
         """What the store holds; None where there is none, or none that can be used."""
@@ -96,6 +114,7 @@
             loaded = store.open()
         except StoreFailed as error:
             self._log.error("store_failed", why=str(error))
+            self._ask_for_store()
             return None
         finally:
             for note in store.notes:
@@ -103,6 +122,46 @@
         self._store = store
         return loaded
 
+    # ---- a store that failed ----
+
+    def _ask_for_store(self) -> None:
+        """Try it again later; heads whose disks failed together do not try in step."""
+        if self._store_asked or self._closed:
+            return
+        self._store_asked = True
+        wait = int(self._store_again_us * self._jitter.uniform(0.75, 1.25))
+        self._store_again_us = min(STORE_AGAIN_MOST_US, 2 * self._store_again_us)
+        self._clock.call_later(wait, self._try_store)
+
+    def _try_store(self) -> None:
+        self._store_asked = False
+        if self._closed or self._settings.folder is None or self._store is not None:
+            return
+        store = FleetStore(self._settings.folder, self._settings.head)
+        try:
+            store.open()
+            store.prove()
+        except (StoreBusy, StoreFailed) as error:
+            self._log.warning("fleet_store_awaited", why=str(error))
+            self._ask_for_store()
+            return
+        finally:
+            store.close()
+            for note in store.notes:
+                self._log.error("store_put_aside", **note)
+        self._begin_anew()
+
+    def _begin_anew(self) -> None:
+        """Take this head's place as a process does that has just started.  What the gateway holds of the
+        lease ends with it, as the keepers count it; its floor is the same."""
+        self._log.info("fleet_begins_anew", head=self._settings.head)
+        self.node = None
+        if self._tick is not None and self._tick.active():
+            self._tick.cancel()
+        self.link.close()
+        self._new_process()
+        self._begin()
+
     def retune(self, settings: api.Settings) -> None:
         """This head's own file says other limits."""
         self._terms = settings
@@ -155,9 +214,11 @@
         if out.save is not None and self._store is not None:
             try:
                 self._store.write(out.save)
+                self._store_again_us = STORE_AGAIN_US
             except StoreFailed as error:
                 node.store_failed(now, str(error))
                 self._store = None
+                self._ask_for_store()
                 return  # said by the next tick, without what this step was for
         if out.shares is not None:
             assert self._engine is not None
--- a/gaugesail/fleet/link.py
+++ b/gaugesail/fleet/link.py
@@ -171,6 +171,10 @@
         self._ports: list[Any] = []
         self._closed = False
 
+    @property
+    def listening(self) -> bool:
+        return bool(self._ports)
+
     @property
     def room(self) -> bool:
         return len(self._accepted) < MOST_EXCHANGES and not self._closed
--- a/gaugesail/fleet/store.py
+++ b/gaugesail/fleet/store.py
@@ -171,6 +171,18 @@
             self.close()  # what of it is kept, nobody here can say: this process writes no more
             raise StoreFailed(f"{self.path}: {error}") from None
 
+    def prove(self) -> None:
+        """Write something and sync it, so that it is known to be possible.  StoreFailed."""
+        if self._db is None:
+            raise StoreFailed(f"{self.path}: it is closed")
+        try:
+            self._db.execute("begin")
+            self._put(self._db, "proof", secrets.token_bytes(8))
+            self._db.execute("commit")
+        except (sqlite3.Error, OSError) as error:
+            self.close()
+            raise StoreFailed(f"{self.path}: {error}") from None
+
     @staticmethod
     def _rows(first: int, entries: tuple[Entry, ...]) -> list[tuple[int, bytes]]:
         return [(at, _pack(entry)) for at, entry in enumerate(entries, first)]
--- a/gaugesail/rehearsal/soak/discovery.py
+++ b/gaugesail/rehearsal/soak/discovery.py
@@ -47,7 +47,7 @@
         self.head, self._membership = head, membership
         self._watches: list[HttpConnection] = []
         self.silent = False
-        self._closed = False
+        self._closed = self._down = False
         self._untold: list[SoakNode] = []  # that drain or are gone, of which nothing was written to the head
         super().__init__(reactor, f"discovery of {head}")
         membership.follow(self._changed)
@@ -56,13 +56,18 @@
     def saw(self, *words: str) -> None:
         pass
 
+    def opened(self, connection: HttpConnection) -> None:
+        super().opened(connection)
+        if self._down:
+            connection.link.abortConnection()
+
     def lost(self, connection: HttpConnection) -> None:
         super().lost(connection)
         if connection in self._watches:
             self._watches.remove(connection)
 
     def message(self, connection: HttpConnection, head: Head, body: bytes) -> None:
-        if self.silent:
+        if not self.reachable:
             return
         text = json.dumps(self._membership.listing()).encode()
         self.told_all()
@@ -101,7 +106,7 @@
 
     @property
     def reachable(self) -> bool:
-        return bool(self.port.connected) and not self.silent
+        return not (self._down or self.silent)
 
     def told_all(self) -> None:
         """The head has the whole list as it is now."""
@@ -119,6 +124,7 @@
     def fall_silent(self) -> None:
         """Open watches stay open; nothing is said on them any more, nor is a call answered."""
         self.silent = True
+        self._cannot_tell()
 
     def speak(self) -> None:
         """Calls are answered again; what was silent stays so."""
@@ -131,14 +137,20 @@
             connection.link.abortConnection()
 
     def down(self) -> None:
-        """Nobody is there."""
-        self.port.stopListening()
+        """Every connection is reset.  The port stays ours: another's connection could be given its number."""
+        self._down = True
+        self._cannot_tell()
         self.cut()
 
     def up(self) -> None:
-        if not self._closed and not self.port.connected:
-            self.listen()
-            self._told_by(self._reactor.seconds() + TOLD_LATEST_S)
+        """Calls are answered again."""
+        self._down = False
+        self._told_by(self._reactor.seconds() + TOLD_LATEST_S)
+
+    def _cannot_tell(self) -> None:
+        """What was not told yet does not count as told while nobody can be reached."""
+        for node in self._untold:
+            node.drained_at[self.head] = float("inf")
 
     def shut(self) -> None:
         self._closed = True
--- a/tests/test_fleet_disk.py
+++ b/tests/test_fleet_disk.py
@@ -10,6 +10,7 @@
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from typing import Any
+from urllib.error import HTTPError
 from urllib.request import urlopen
 
 import pytest
@@ -39,7 +40,10 @@
     @property
     def keeps(self) -> bool:
         """It has a seat again, hears a leader and holds a lease."""
-        told = self.budgets()
+        try:
+            told = self.budgets()
+        except HTTPError:  # not in the fleet yet
+            return False
         return bool(told["keeper"] and told["leader"]) and told["own"]["lease_s"] > 0
 
     def disk(self, error: int) -> None:
@@ -66,7 +70,7 @@
                 folder, library, [HangingNode(0)], "--fleet", str(path), management=f"{HOST}:{calls[number]}"
             )
             heads.append(FleetHead(stack.enter_context(head), calls[number]))
-        assert wait_until(lambda: all(head.keeps for head in heads), BACK_S), heads[0].budgets()
+        assert wait_until(lambda: all(head.keeps for head in heads), BACK_S), heads[0].head.text
         yield heads
 
 
@@ -80,11 +84,14 @@
     with three(tmp_path, library) as heads:
         for head in heads:
             head.disk(error)
-        fallen = lambda: sum("fleet_store_failed" in head.head.text for head in heads)  # noqa: E731
-        assert wait_until(lambda: fallen() >= 2, 10.0), "too few saves for a quorum to be lost"
+
+        def quorum_lost() -> bool:
+            return sum("fleet_store_failed" in head.head.text for head in heads) >= 2
+
+        assert wait_until(quorum_lost, 10.0)
         time.sleep(1.0)
         for head in heads:
             head.disk(0)
-        assert wait_until(lambda: all(head.keeps for head in heads), BACK_S), [h.budgets() for h in heads]
+        assert wait_until(lambda: all(head.keeps for head in heads), BACK_S), heads[0].head.text
         assert all(head.head.process.poll() is None for head in heads)
         assert not any("raised" in head.head.text for head in heads)
