--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -220,13 +220,13 @@
 
     def __init__(
         self, folder: Path, library: Path, nodes: list[HangingNode], arguments: tuple[str, ...] = (),
-        management: str = "", **changes: str,
+        management: str = "", seed: str = "7", **changes: str,
     ) -> None:  # fmt: skip
         self.folder, self.nodes = folder, nodes
         self.discovery = ListService(nodes)
         self.faults = Faults(library, folder / "faults")
         config: dict[str, Any] = {
-            "name": "n", "listen": f"{HOST}:0", "discovery": self.discovery.address, "seed": "7",
+            "name": "n", "listen": f"{HOST}:0", "discovery": self.discovery.address, "seed": seed,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"revision": 0, "complete": True, "members": []}, "settings": defaults.settings(),
         }  # fmt: skip
@@ -285,10 +285,10 @@
 @contextmanager
 def faulty(
     folder: Path, library: Path, nodes: list[HangingNode], *arguments: str, ahead_s: float = 0.0,
-    management: str = "", **changes: str,
+    management: str = "", seed: str = "7", **changes: str,
 ) -> Iterator[FaultyHead]:  # fmt: skip
     """A head that has started, with its wall clock so far ahead, and is ended whatever comes."""
-    head = FaultyHead(folder, library, nodes, arguments, management, **changes)
+    head = FaultyHead(folder, library, nodes, arguments, management, seed, **changes)
     head.faults.step_wall_clock(ahead_s)
     try:
         yield head.start()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,84 @@
+"""New objects of many heads that know the same spread over the nodes."""
+
+from __future__ import annotations
+
+import tempfile
+from collections import Counter
+from contextlib import ExitStack
+from pathlib import Path
+
+import pytest
+
+from gaugesail.rehearsal.faults.shim import build
+from marllift import Gateway, Settings
+from marllift import interface as api
+from tests.faulty import HangingNode, faulty, folder_of, wait_until
+
+HEADS, NODES = 8, 8
+
+
+@pytest.fixture(scope="module")
+def library() -> Path:
+    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
+
+
+def test_heads_that_have_just_started_do_not_all_place_on_one_node(tmp_path: Path, library: Path) -> None:
+    nodes = [HangingNode(shard) for shard in range(NODES)]
+    with ExitStack() as stack:
+        heads = [
+            stack.enter_context(faulty(folder_of(tmp_path, number), library, nodes, seed=f"{number + 1:x}"))
+            for number in range(HEADS)
+        ]
+        for number, head in enumerate(heads):
+            head.ask(f"new{number}", -1, 2000)
+        assert wait_until(lambda: sum(node.requests for node in nodes) == HEADS, 2.0)
+        assert max(node.requests for node in nodes) <= HEADS // 2, [node.requests for node in nodes]
+
+
+CLASSES = (api.RequestClass("write", 500_000, 3_000_000, writes=True),)
+NOW, SECOND = 1_000_000_000, 1_000_000
+
+
+def gateway(seed: int, shards: int = NODES) -> Gateway:
+    settings = Settings(classes=CLASSES, plans=(api.Plan("basic", 800.0, 400.0),), gateways=HEADS,
+                        fall_us=1_500_000, fall_multiple=3.0, cold_share=0.3, cold_units=20.0,
+                        warm_after_us=17 * SECOND)  # fmt: skip
+    made = Gateway(settings, seed, NOW)
+    nodes = tuple(api.Node(b"n%d" % shard, shard) for shard in range(shards))
+    made.handle(NOW, [api.NodeList(api.ListKind.FULL, nodes)])
+    return made
+
+
+def placed(made: Gateway, number: int, now: int) -> bytes:
+    """Where a new object goes."""
+    found = made.handle(now, [api.Request(number, 0, now + 3 * SECOND, shard=-1, key=number)])
+    return next(act.node for act in found if isinstance(act, api.Send))
+
+
+def test_gateways_of_other_seeds_that_know_the_same_spread() -> None:
+    counts = Counter(placed(gateway(seed), 1, NOW + 1) for seed in range(400))
+    assert len(counts) == NODES and max(counts.values()) < 2 * 400 / NODES
+
+
+def test_what_one_gateway_knows_to_be_slow_gets_less() -> None:
+    counts = Counter[bytes]()
+    for seed in range(200):
+        made = gateway(seed)
+        made.nodes[b"n0"].latency = [10 * made.target[0]]
+        made.nodes[b"n1"].misses = 4
+        counts[placed(made, 1, NOW + 1)] += 1
+    assert counts[b"n0"] + counts[b"n1"] < 0.06 * 200  # both drawn: 2 of 56 ordered pairs, and a little
+
+
+def test_a_node_that_is_away_gets_nothing_and_none_at_all_is_borne() -> None:
+    for seed in range(50):
+        made = gateway(seed, 2)
+        gone = api.Node(b"n0", 0, api.NodeMode.DRAINING)
+        made.handle(NOW, [api.NodeList(api.ListKind.CHANGES, (gone,))])
+        assert placed(made, 1, NOW + 1) == b"n1"
+    made.handle(NOW, [api.NodeList(api.ListKind.FULL, ())])
+    made.handle(NOW + 2, [api.Request(2, 0, NOW + 3 * SECOND, shard=-1, key=2)])  # waits, or is refused
+
+
+def test_the_same_seed_places_the_same_way() -> None:
+    assert [placed(gateway(7), 1, NOW + 1) for _ in range(5)] == [placed(gateway(7), 1, NOW + 1)] * 5
