--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -76,6 +76,7 @@
     due_s: float
     answered: int = 0
     left_at: float | None = None  # its client closed
+    given_up: bool = False  # it was entered as lost, or excused
     excused: bool = False  # its head's process was killed, or a fault broke its connection
     arrivals: list[Arrival] = field(default_factory=list)
 
@@ -136,6 +137,9 @@
 
     def answered(self, asked: Asked, status: int, body: bytes) -> None:
         """A whole answer came."""
+        if asked.given_up:
+            self.counts["answered_when_lost"] += 1
+            return
         asked.answered += 1
         if asked.answered > 1:
             self.broke(Rule.TWO_ANSWERS, asked.head, asked.name)
@@ -158,8 +162,9 @@
 
     def unanswered(self, asked: Asked, why: str) -> None:
         """Its connection ended with no answer, or its time is long over."""
-        if asked.answered or asked.left_at is not None:
+        if asked.answered or asked.given_up or asked.left_at is not None:
             return
+        asked.given_up = True
         if asked.excused or self.exemptions.connections_break(asked.head, asked.at):
             self.counts["excused"] += 1
         else:
@@ -167,7 +172,6 @@
             arrived = [f"{one.node} {one.at - asked.at:+.3f}" for one in asked.arrivals]
             old = f"{asked.name} ({asked.kind.name}) {now - asked.at:.3f} s old"
             self.broke(Rule.LOST, asked.head, f"{old}: {why}; arrivals {arrived}")
-        asked.answered = 1
 
     def sweep(self) -> None:
         """Requests whose time is long over must have their answer."""
