Add tests of a lasting folder that fails; three of them fail

EIO at the unlink of the handover's link: after SIGTERM the process answers all and runs on up to the kill. An error of the system as the state file is read at the start: a node in maintenance is sent to again, and the next call overwrites what was asked before. ENOSPC as the next process follows a call of the first: the exception ends the link between both, and each takes the other for dead.

--- a/gaugesail/rehearsal/faults/shim.c
+++ b/gaugesail/rehearsal/faults/shim.c
@@ -21,7 +21,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { ACCEPT, SOCKET, CONNECT, RECV, SEND, WAIT, WRITE, SYNC, RENAME, OPEN, CALLS };
+enum call { ACCEPT, SOCKET, CONNECT, RECV, SEND, WAIT, WRITE, SYNC, RENAME, OPEN, UNLINK, CALLS };
 enum { SHORT = -1 }; /* in place of an error: one byte is read or written */
 
 struct fault {
@@ -201,6 +201,11 @@
     return REAL(rename)(from, to);
 }
 
+int unlink(const char *path) {
+    FAIL_IF_DRAWN(UNLINK);
+    return REAL(unlink)(path);
+}
+
 static int opens_to_write(int flags) { return (flags & O_ACCMODE) != O_RDONLY && (flags & O_CREAT); }
 
 #define OPEN_WITH(function, ...)               \
--- a/gaugesail/rehearsal/faults/shim.py
+++ b/gaugesail/rehearsal/faults/shim.py
@@ -34,6 +34,7 @@
     SYNC = 7
     RENAME = 8
     OPEN = 9  # for writing
+    UNLINK = 10
 
 
 # What the manual pages document for each call, and a head has to bear for a while.
@@ -50,6 +51,7 @@
     Call.WRITE: (errno.ENOSPC, errno.EIO, errno.EDQUOT),
     Call.SYNC: (errno.EIO, errno.ENOSPC),
     Call.RENAME: (errno.ENOSPC, errno.EIO),
+    Call.UNLINK: (errno.EIO, errno.EROFS),
     Call.OPEN: (errno.ENOSPC, errno.EMFILE, errno.EROFS),
 }  # fmt: skip
 
--- a/gaugesail/rehearsal/soak/troubles.py
+++ b/gaugesail/rehearsal/soak/troubles.py
@@ -15,7 +15,7 @@
 
 End = Callable[[], None]
 SOCKET_CALLS = (Call.ACCEPT, Call.SOCKET, Call.CONNECT, Call.RECV, Call.SEND, Call.WAIT)
-FILE_CALLS = (Call.WRITE, Call.SYNC, Call.RENAME, Call.OPEN)
+FILE_CALLS = (Call.WRITE, Call.SYNC, Call.RENAME, Call.OPEN, Call.UNLINK)
 HARMLESS = {errno.EINTR, errno.EAGAIN, errno.ENOBUFS, SHORT}  # of recv and send: the connection lives on
 CLOSED_LATEST_S = 4.0  # after the last call that failed, until all that it broke is closed
 CLOCK_STEPS_S = (-86400.0, -3600.0, -3.0, -0.5, 0.5, 3.0, 3600.0, 86400.0)
--- /dev/null
+++ b/tests/test_lasting_folder.py
@@ -0,0 +1,126 @@
+"""The folder that a head's processes share fails for a while: what was taken on is still owed."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import tempfile
+from pathlib import Path
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
+
+import pytest
+
+from gaugesail.rehearsal.faults.shim import Call, build
+from gaugesail.rehearsal.fleet.heads import free_ports
+from gaugesail.state import State, StateFile
+from tests.faulty import HOST, FaultyHead, ServingNode, faulty, wait_until
+from tests.rehearse import play
+
+NODE = "b0"
+
+
+@pytest.fixture(scope="module")
+def library() -> Path:
+    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
+
+
+def call(port: int, path: str) -> int:
+    """An operator's call: its status."""
+    try:
+        with urlopen(Request(f"http://{HOST}:{port}/{path}", method="POST"), timeout=2.0) as answer:
+            return int(answer.status)
+    except HTTPError as error:
+        return error.code
+
+
+def in_use(head: FaultyHead, name: str) -> bool:
+    """Whether the node is sent a request now."""
+    answer = head.ask(name, 0, 1000)
+    wait_until(lambda: answer.status != 0, 1.5)
+    return answer.status == 200
+
+
+@pytest.mark.parametrize("fails", [Call.WRITE, Call.RENAME, Call.OPEN], ids=lambda one: one.name)
+def test_a_call_that_cannot_be_kept_is_told_no_and_changes_nothing(
+    fails: Call, tmp_path: Path, library: Path
+) -> None:
+    port = free_ports(1)[0]
+    with faulty(tmp_path, library, [ServingNode(0)], management=f"{HOST}:{port}") as head:
+        head.faults.fail(fails, errno.ENOSPC, 100)
+        assert call(port, f"bricks/{NODE}/maint") == 503
+        head.faults.clear()
+        assert in_use(head, "first")
+        assert call(port, f"bricks/{NODE}/maint") == 200
+        assert not in_use(head, "second")
+        kept = [json.loads(path.read_text()) for path in tmp_path.glob("gaugesail-*.json")]
+        assert kept == [{"away": [NODE], "drained": False}]
+        assert not [path for path in tmp_path.glob("gaugesail-*") if path.suffix == f".{head.process.pid}"]
+
+
+@pytest.mark.parametrize("fails", [Call.WRITE, Call.SYNC, Call.RENAME, Call.OPEN, Call.UNLINK],
+                         ids=lambda one: one.name)  # fmt: skip
+def test_a_head_ends_in_order_though_its_folder_fails(fails: Call, tmp_path: Path, library: Path) -> None:
+    with faulty(tmp_path, library, [ServingNode(0)]) as head:
+        assert in_use(head, "first")
+        head.faults.fail(fails, errno.EIO, 1000)
+        head.term()
+        assert wait_until(lambda: head.process.poll() is not None, 4.0), "it runs on, up to the kill"
+        assert head.process.returncode == 0
+
+
+def test_what_was_asked_is_carried_out_once_its_file_can_be_read(tmp_path: Path, library: Path) -> None:
+    """At the start the file gives an error of the system; what it holds is another process's promise."""
+    port = free_ports(1)[0]
+    listen = free_ports(1)[0]
+    file = tmp_path / f"gaugesail-{HOST}-{listen}.json"
+    file.mkdir()  # reading it fails as the system says
+    head = FaultyHead(tmp_path, library, [ServingNode(0)], management=f"{HOST}:{port}")
+    config = json.loads((tmp_path / "config").read_text()) | {"listen": f"{HOST}:{listen}"}
+    (tmp_path / "config").write_text(json.dumps(config))
+    try:
+        head.start()
+        assert call(port, "healthcheck/fail") == 503, "what was asked before is not known yet"
+        file.rmdir()
+        (fresh := tmp_path / "fresh").write_text(json.dumps({"away": [NODE], "drained": False}))
+        os.replace(fresh, file)
+        assert wait_until(lambda: "event=maintenance_begins" in head.text, 2.0), head.text
+        assert not in_use(head, "first")
+    finally:
+        head.close()
+
+
+REPLACED = """brick b1 shard=0
+client c1
+send c1 request a
+expect b1 request a
+expect list watch 1
+send daemon replace
+expect list watch 1
+"""
+
+
+def test_a_file_that_cannot_be_written_does_not_part_two_processes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The next process follows a call of the first; its own write of it fails, and is made up for."""
+    plain, failing = StateFile.write, [False]
+
+    def write(self: StateFile, state: State) -> None:
+        if failing[0]:
+            raise OSError(errno.ENOSPC, "no space")
+        plain(self, state)
+
+    world = play(REPLACED)
+    first, second = world.heads
+    second._state.path = second._state.path.with_name("of-the-second.json")
+    monkeypatch.setattr(StateFile, "write", write)
+    links = len(first._handover._links), len(second._handover._links)
+    assert links == (1, 1)
+    monkeypatch.setattr(first.operations, "_file", StateFile(None, ("", 0)))
+    failing[0] = True
+    first.operations.maintain(b"b1", True)
+    assert world.until(lambda: b"b1" in second.engine.away, 1.0)
+    world.until(lambda: False, 0.5)
+    assert (len(first._handover._links), len(second._handover._links)) == links
+    failing[0] = False
+    assert world.until(lambda: b"b1" in second._state.read().away, 2.0)
