--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,22 @@
 """Property tests play the same examples every time: the same verdict always.  KNOWN-RED.txt is held to."""
 
+from pathlib import Path
+
+import pytest
 from hypothesis import settings
 
+from gaugesail.rehearsal.faults.shim import build
+
 from .known_red import pytest_configure
 
 settings.register_profile("same", derandomize=True, deadline=None, database=None)
 settings.load_profile("same")
 
+
+@pytest.fixture(scope="session")
+def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """The fault shim, compiled once."""
+    return build(tmp_path_factory.mktemp("shim"))
+
+
 __all__ = ["pytest_configure"]
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import errno
-import tempfile
 from pathlib import Path
 
 import pytest
 
-from gaugesail.rehearsal.faults.shim import DOCUMENTED, SHORT, Call, build
+from gaugesail.rehearsal.faults.shim import DOCUMENTED, SHORT, Call
 from tests.faulty import ServingNode, answered_late, faulty
 
 # Errors of a connection itself, after which it has ended.
@@ -16,11 +15,6 @@
 TIMES = (1, 3, 20)
 
 
-@pytest.fixture(scope="module")
-def library() -> Path:
-    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
-
-
 CALLS = (Call.ACCEPT, Call.SOCKET, Call.CONNECT, Call.RECV, Call.SEND, Call.WAIT)
 
 
--- a/tests/test_fleet_disk.py
+++ b/tests/test_fleet_disk.py
@@ -4,7 +4,6 @@
 
 import errno
 import json
-import tempfile
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
@@ -16,7 +15,7 @@
 import pytest
 
 from gaugesail.iscsi.operator import write_toml
-from gaugesail.rehearsal.faults.shim import Call, build
+from gaugesail.rehearsal.faults.shim import Call
 from gaugesail.rehearsal.fleet.heads import free_ports
 from tests.faulty import HOST, FaultyHead, HangingNode, faulty, folder_of, wait_until
 
@@ -74,11 +73,6 @@
         yield heads
 
 
-@pytest.fixture(scope="module")
-def library() -> Path:
-    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
-
-
 @pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO], ids=["ENOSPC", "EIO"])
 def test_a_fleet_holds_its_limit_again_once_its_disks_do(error: int, tmp_path: Path, library: Path) -> None:
     with three(tmp_path, library) as heads:
--- a/tests/test_lasting_folder.py
+++ b/tests/test_lasting_folder.py
@@ -5,14 +5,13 @@
 import errno
 import json
 import os
-import tempfile
 from pathlib import Path
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
 import pytest
 
-from gaugesail.rehearsal.faults.shim import Call, build
+from gaugesail.rehearsal.faults.shim import Call
 from gaugesail.rehearsal.fleet.heads import free_ports
 from gaugesail.state import State
 from tests.faulty import HOST, FaultyHead, ServingNode, faulty, wait_until
@@ -21,11 +20,6 @@
 NODE = "b0"
 
 
-@pytest.fixture(scope="module")
-def library() -> Path:
-    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
-
-
 def call(port: int, path: str) -> int:
     """An operator's call: its status."""
     try:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-import tempfile
 from collections import Counter
 from contextlib import ExitStack
 from pathlib import Path
 
-import pytest
-
-from gaugesail.rehearsal.faults.shim import build
 from marllift import Gateway, Settings
 from marllift import interface as api
 from tests.faulty import HangingNode, faulty, folder_of, wait_until
@@ -17,11 +13,6 @@
 HEADS, NODES = 8, 8
 
 
-@pytest.fixture(scope="module")
-def library() -> Path:
-    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
-
-
 def test_heads_that_have_just_started_do_not_all_place_on_one_node(tmp_path: Path, library: Path) -> None:
     nodes = [HangingNode(shard) for shard in range(NODES)]
     with ExitStack() as stack:
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import tempfile
 import time
 from pathlib import Path
 
 import pytest
 
-from gaugesail.rehearsal.faults.shim import build
 from marllift import Gateway
 from marllift import interface as api
 from marllift.interface import ListKind
@@ -19,11 +17,6 @@
 SETTLED_S = 0.4
 
 
-@pytest.fixture(scope="module")
-def library() -> Path:
-    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
-
-
 def unix_ms() -> int:
     return time.time_ns() // 1_000_000
 
--- a/tests/test_time_in_kernel.py
+++ b/tests/test_time_in_kernel.py
@@ -6,13 +6,10 @@
 import re
 import signal
 import socket
-import tempfile
 import time
 from pathlib import Path
 
-import pytest
-
-from gaugesail.rehearsal.faults.shim import Call, build
+from gaugesail.rehearsal.faults.shim import Call
 from tests.faulty import HOST, FaultyHead, HangingNode, faulty, wait_until
 
 SLACK_MS = 150
@@ -20,11 +17,6 @@
 AIM_US = "1300000"  # so that what has waited is still worth sending
 
 
-@pytest.fixture(scope="module")
-def library() -> Path:
-    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
-
-
 def told_ms(node: HangingNode) -> int:
     """What the node was told of the time left by the latest request that came."""
     text = b"".join(node._text.values())
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -2,13 +2,9 @@
 
 from __future__ import annotations
 
-import tempfile
 import time
 from pathlib import Path
 
-import pytest
-
-from gaugesail.rehearsal.faults.shim import build
 from tests.faulty import (
     FaultyHead,
     HangingNode,
@@ -24,11 +20,6 @@
 STEPS_S = (-HOUR_S, -3.0, -2.0, 3.0, HOUR_S)
 
 
-@pytest.fixture(scope="module")
-def library() -> Path:
-    return build(Path(tempfile.mkdtemp(prefix="gaugesail-shim-")))
-
-
 def hanging() -> list[HangingNode]:
     return [HangingNode(shard) for shard in range(8)]
 
