Step clocks and fail disks in the fleet's rig; bound what the monitor and the trace keep

Change: two kinds of fault in gaugesail trial budgets, step_clock and disk_fails, by the fault shim, left out where there is no C compiler; at most 4096 nodes in the monitor; a ready node is traced when it is first seen; a head that leaves does not begin anew for its store (test seen to fail without the guard).

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -164,7 +164,8 @@
         now = self._clock.now_us()
         self.rules.listed(news, now)
         for line in news.nodes:
-            self.trace.note(now, line.node.decode(errors="replace"), Step.LISTED, line.mode.name.lower())
+            if line.mode is not api.NodeMode.READY or line.node not in self._seen:
+                self._note(line.node.decode(errors="replace"), Step.LISTED, line.mode.name.lower())
             self._seen[line.node] = None
             self._seen.move_to_end(line.node)
         while len(self._seen) > MOST_IDS:  # on a long day bricks come and go by the thousand
--- a/gaugesail/core/rules.py
+++ b/gaugesail/core/rules.py
@@ -15,6 +15,8 @@
 from .ports import Attempt, Logger
 from .trace import Trace
 
+MOST_DRAINING = 4096  # nodes that are remembered as told to drain or to be gone
+
 
 class Denial(Enum):
     """Why an attempt must not be made, or not begin."""
@@ -83,6 +85,8 @@
                 self._draining.pop(line.node, None)
             else:
                 self._draining.setdefault(line.node, now_us)
+        while len(self._draining) > MOST_DRAINING:  # on a long day nodes come and go by the thousand
+            del self._draining[next(iter(self._draining))]
 
     def began(self, attempt: Attempt, now_us: int) -> None:
         """The first byte of an attempt leaves."""
--- a/gaugesail/fleet/agent.py
+++ b/gaugesail/fleet/agent.py
@@ -135,7 +135,8 @@
 
     def _try_store(self) -> None:
         self._store_asked = False
-        if self._closed or self._settings.folder is None or self._store is not None:
+        leaving = self.node is not None and self.node.holder.leaving
+        if self._closed or leaving or self._settings.folder is None or self._store is not None:
             return
         store = FleetStore(self._settings.folder, self._settings.head)
         try:
--- a/gaugesail/rehearsal/fleet/trial.py
+++ b/gaugesail/rehearsal/fleet/trial.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 import tempfile
 from collections import Counter
@@ -12,6 +13,7 @@
 from typing import Any
 
 from ...lab.fleet import Limit
+from ..faults.shim import Call, Faults, NoCompiler, build
 from ..peers import Directory
 from .heads import HeadProcess, free_ports
 from .relay import Line, Relays
@@ -22,8 +24,11 @@
 KINDS = {  # of faults, each a method of the rig, and how often it comes
     "kill": 3.0, "stop": 3.0, "term": 1.5, "store_lost": 1.0, "store_old": 1.5, "restart_all": 0.5,
     "cut": 2.0, "one_way": 2.0, "halves": 1.5, "drop": 2.0, "delay": 2.0, "duplicate": 1.5, "reorder": 1.5,
-    "trickle": 1.5, "lower_whole": 1.0, "raise_whole": 1.0,
+    "trickle": 1.5, "lower_whole": 1.0, "raise_whole": 1.0, "step_clock": 1.5, "disk_fails": 1.0,
 }  # fmt: skip
+CLOCK_STEPS_S = (-86400.0, -3600.0, -3.0, 3.0, 3600.0, 86400.0)
+DISK_ERRORS = (errno.ENOSPC, errno.EIO)
+EVERY_CALL = 1_000_000  # fails, until that is taken back
 AFTER_USED_S = 4.0  # the end of the time without faults, that is looked at
 RESEAT_S = 20.0  # between two keepers' stores that are lost: with most of them gone at once a fleet is over
 CALM_S = 8.0  # at the end, without a new fault: what waits is answered
@@ -81,6 +86,7 @@
         self.heads = {
             name: HeadProcess(name, folder / name, *ports[3 * n : 3 * n + 3]) for n, name in enumerate(names)
         }
+        self.system = self._system_faults()
         at = {name: ("127.0.0.1", head.fleet_port) for name, head in self.heads.items()}
         self.relays = Relays(reactor, trial.seed + 1, at if trial.fleet else {})
         self.keepers = names[: trial.keepers]
@@ -103,6 +109,17 @@
         self._store_at = -RESEAT_S  # when a keeper's store was last lost or put back
         self._wholes = [(0.0, trial.rate)]  # what the whole is, from when
 
+    def _system_faults(self) -> dict[str, Faults]:
+        """What steps each head's wall clock and lets its calls fail; none where there is no compiler."""
+        try:
+            library = build(self.folder)
+        except NoCompiler:
+            return {}
+        found = {name: Faults(library, head.folder / "faults") for name, head in self.heads.items()}
+        for name, head in self.heads.items():
+            head.environ = found[name].environment()
+        return found
+
     def _config(self, head: HeadProcess) -> dict[str, Any]:
         me = list(self.heads).index(head.name)
         return config_of(self.directory, head.listen, head.calls, self.limit, self.trial.heads, me)
@@ -214,6 +231,7 @@
         for call in self._calls:
             if call.active():
                 call.cancel()
+        self._clear_disks()
         for line in self.relays.lines.values():
             line.weather.clear()
             line.changed()
@@ -423,6 +441,30 @@
         self._note("a trickle", "")
         self._weather(self._some(), lambda line: setattr(line.weather, "trickle", 2000), 1.0, 5.0)
 
+    # ---- the system below ----
+
+    def step_clock(self) -> None:
+        """The wall clocks of some heads are stepped, each by its own."""
+        for name, faults in self.system.items():
+            if self.rng.random() < 0.5:
+                step = self.rng.choice(CLOCK_STEPS_S)
+                self._note("clock stepped", f"{name} {step:+.0f} s")
+                faults.step_wall_clock(step)
+
+    def disk_fails(self) -> None:
+        """Writes and syncs fail for a while, mostly on more than one head."""
+        names = [name for name in self.system if self.rng.random() < 0.6]
+        error = self.rng.choice(DISK_ERRORS)
+        self._note("disk fails", "+".join(names))
+        for name in names:
+            for call in (Call.WRITE, Call.SYNC):
+                self.system[name].fail(call, error, EVERY_CALL)
+        self.later(self.rng.uniform(0.3, 3.0), self._clear_disks)
+
+    def _clear_disks(self) -> None:
+        for faults in self.system.values():
+            faults.clear()
+
     # ---- wholes ----
 
     def _whole(self, factor: float) -> None:
--- a/tests/test_fleet_agent.py
+++ b/tests/test_fleet_agent.py
@@ -130,6 +130,23 @@
     fleet.end()
 
 
+def test_a_head_that_leaves_does_not_come_back_for_its_store(tmp_path: Path, monkeypatch: Any) -> None:
+    fleet = Fleet(tmp_path)
+    fleet.run(4)
+    agent = fleet.agents["a"]
+
+    def full(self: FleetStore, save: Any) -> None:
+        self.close()  # as a write that fails does
+        raise StoreFailed("full")
+
+    monkeypatch.setattr(agent._store, "write", full.__get__(agent._store))
+    assert fleet.reactor.run_until(lambda: "fleet_store_failed" in fleet.log.getvalue(), 10.0)
+    agent.leave()
+    fleet.run(10)
+    assert "fleet_begins_anew" not in fleet.log.getvalue()
+    fleet.end()
+
+
 def test_a_step_that_raises_ends_neither_the_head_nor_its_place(tmp_path: Path, monkeypatch: Any) -> None:
     fleet = Fleet(tmp_path)
     fleet.run(3)
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gaugesail.core.ports import Attempt
-from gaugesail.core.rules import Breach, Denial, RuleMonitor, deny_send, deny_start
+from gaugesail.core.rules import MOST_DRAINING, Breach, Denial, RuleMonitor, deny_send, deny_start
 from gaugesail.core.trace import MOST_STEPS, Step, Trace
 from gaugesail.http.bricks import BrickPool
 from marllift import interface as api
@@ -90,6 +90,14 @@
     assert not log.lines
 
 
+def test_nodes_that_come_and_go_by_the_thousand_are_forgotten() -> None:
+    monitor = RuleMonitor(GRACE_US, Log(), Trace())
+    for number in range(MOST_DRAINING + 10):
+        line = api.Node(b"%d" % number, 0, api.NodeMode.GONE)
+        monitor.listed(api.NodeList(api.ListKind.CHANGES, (line,)), NOW)
+    assert len(monitor._draining) == MOST_DRAINING
+
+
 def test_a_guard_that_is_taken_away_is_found_by_the_monitor(monkeypatch: pytest.MonkeyPatch) -> None:
     """A brick that drains is sent to all the same: by the module, and by a pool that does not look."""
     with turned() as rig:
