--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 PINNED = $(wildcard requirements*.txt)
-TOOLS = ruff==0.14.6 mypy==1.18.2 pytest==8.4.2 hypothesis==6.148.1
+TOOLS = ruff==0.14.6 mypy==1.18.2 pytest==8.4.2 pytest-xdist==3.8.0 hypothesis==6.148.1
+WORKERS ?= 4
 
 .PHONY: build test lint run trial sites clean
 
@@ -14,7 +15,7 @@
 	touch $@
 
 test: build
-	$(PYTHON) -m pytest -q
+	$(PYTHON) -m pytest -q -n $(WORKERS) --dist loadfile
 
 lint: build
 	$(VENV)/bin/ruff check marllift gaugesail tests
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -53,6 +53,11 @@
     return parse(path.read_text()) if path.exists() else []
 
 
+def _paths(config: pytest.Config, names: list[str]) -> set[Path]:
+    """What is named on the command line, or by the settings, as whole paths."""
+    return {(config.rootpath / name).resolve() for name in names}
+
+
 class KnownRed:
     """The pytest plugin that holds a run to the list."""
 
@@ -65,7 +70,7 @@
         for nodeid, item in listed.items():
             item.add_marker(pytest.mark.xfail(strict=True, reason=str(self._failures[nodeid])))
         collected = {item.nodeid.partition("::")[0] for item in items}
-        whole_run = not config.invocation_params.args or set(config.args) == set(config.getini("testpaths"))
+        whole_run = _paths(config, config.args) == _paths(config, config.getini("testpaths"))
         for test in self._failures.keys() - listed.keys():
             if whole_run or (test.partition("::")[0] in collected and "::" not in "".join(config.args)):
                 raise pytest.UsageError(f"{FILE_NAME}: there is no test {test}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -18,7 +18,7 @@
 """
 
 
-def run(folder: Path, listed: str) -> subprocess.CompletedProcess[str]:
+def run(folder: Path, listed: str, *more: str) -> subprocess.CompletedProcess[str]:
     """A whole run of pytest over a repository of its own with this list."""
     (folder / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
     (folder / "tests").mkdir(exist_ok=True)
@@ -28,7 +28,7 @@
     (folder / "tests" / "test_some.py").write_text(TESTS)
     (folder / known_red.FILE_NAME).write_text(listed)
     return subprocess.run(
-        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=folder, env=os.environ,
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *more], cwd=folder, env=os.environ,
         capture_output=True, text=True, timeout=60, check=False,
     )  # fmt: skip
 
@@ -54,6 +54,17 @@
     assert done.returncode not in (0, 1) and "there is no test tests/test_some.py::test_gone" in done.stderr
 
 
+def test_over_several_workers_the_list_holds_as_well(tmp_path: Path) -> None:
+    workers = "-n", "2", "--dist", "loadfile"
+    red = "tests/test_some.py::test_bad | a | 35\n"
+    done = run(tmp_path, red, *workers)
+    assert done.returncode == 0 and "1 passed, 1 xfailed" in done.stdout
+    assert "test_bad | a | 35" in done.stdout
+    assert run(tmp_path, "", *workers).returncode == 1
+    assert run(tmp_path, red + "tests/test_some.py::test_good | b | 35\n", *workers).returncode == 1
+    assert run(tmp_path, red + "tests/test_some.py::test_gone | b | 35\n", *workers).returncode != 0
+
+
 def test_more_than_three_lines_fail_ci(tmp_path: Path) -> None:
     listed = "".join(f"tests/test_some.py::test_{n} | a | 35\n" for n in range(4))
     done = run(tmp_path, listed)
