--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -71,5 +71,13 @@
     made.handle(NOW + 2, [api.Request(2, 0, NOW + 3 * SECOND, shard=-1, key=2)])  # waits, or is refused
 
 
+def test_shards_without_a_node_are_not_drawn() -> None:
+    for seed in range(20):
+        made = gateway(seed, 40)
+        gone = tuple(api.Node(b"n%d" % shard, shard, api.NodeMode.DRAINING) for shard in range(39))
+        made.handle(NOW, [api.NodeList(api.ListKind.CHANGES, gone)])
+        assert placed(made, 1, NOW + 1) == b"n39"
+
+
 def test_the_same_seed_places_the_same_way() -> None:
     assert [placed(gateway(7), 1, NOW + 1) for _ in range(5)] == [placed(gateway(7), 1, NOW + 1)] * 5
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -122,3 +122,12 @@
     assert b"a" not in heard.nodes
     hear(heard, NOW + 4 * SECOND, ListKind.FULL, (b"a", NOW))
     assert age_s(heard, NOW + 4 * SECOND, b"a") == 3.0
+
+
+def test_a_restart_is_news_though_it_is_told_with_an_earlier_time_than_the_last() -> None:
+    heard = gateway(NOW)
+    hear(heard, NOW, ListKind.FULL, (b"a", 0))
+    hear(heard, NOW + SECOND, ListKind.CHANGES, (b"a", NOW))
+    later = NOW + 60 * SECOND
+    hear(heard, later, ListKind.CHANGES, (b"a", NOW - 3600 * SECOND))
+    assert age_s(heard, later, b"a") == 0.0
