--- a/gaugesail/rehearsal/soak/nodes.py
+++ b/gaugesail/rehearsal/soak/nodes.py
@@ -49,7 +49,7 @@
         self._free_at = 0.0  # when its work in hand is done, while it is cold
         self.drained_at: dict[str, float] = {}  # by head: when it was told
         self.told_by: dict[str, str] = {}  # by head: how
-        self._refused_s = self._refused_until = 0.0
+        self._refused_since = self._refused_until = 0.0
         self._late: dict[HttpConnection, float] = {}  # by connection: how late it was taken
         self.silent = False  # it has vanished: what is open stays open, and nothing is said
         super().__init__(reactor, name)
@@ -67,8 +67,9 @@
     def opened(self, connection: HttpConnection) -> None:
         super().opened(connection)
         connection.link.setTcpNoDelay(True)
-        if self._reactor.seconds() < self._refused_until + ACCEPT_S:
-            self._late[connection] = self._refused_s + ACCEPT_S
+        now = self._reactor.seconds()
+        if now < self._refused_until + ACCEPT_S:
+            self._late[connection] = now - self._refused_since
 
     def lost(self, connection: HttpConnection) -> None:
         super().lost(connection)
@@ -169,9 +170,13 @@
     def refuse(self, seconds: float) -> None:
         """Take no connection for a while: the kernel does, and what is written waits there."""
         self.port.stopReading()
-        self._refused_s, self._refused_until = seconds, self._reactor.seconds() + seconds
+        now = self._reactor.seconds()
+        if now >= self._refused_until:  # else one pause runs into the next
+            self._refused_since = now
+        self._refused_until = max(self._refused_until, now + seconds)
         self._later(seconds, self._accept_again)
 
     def _accept_again(self) -> None:
-        if not self.silent and self.port.connected:
+        over = self._reactor.seconds() >= self._refused_until
+        if over and not self.silent and self.port.connected:
             self.port.startReading()
