Take up a start that was first told while its node drains

Found on reading the whole change again: StartTimes.hear gave a fresh start back once, with the list that told it, and decide.py _list used it for lines that are ready alone; a start first told on a line that drains was remembered and never reached the book, so that the node was warm once it was ready. Change: the book's start is compared with the told one on every line, one call in place of two; hear returns nothing. Result: three rows of a new test failed before and pass; a call back from maintenance counts as before (test beside it, passed before and after); 48 tests of starts, guards, rules and layout pass.

--- a/marllift/decide.py
+++ b/marllift/decide.py
@@ -131,7 +131,7 @@
             self.acts.append(api.SetTimer(self.now + int(wait * (0.5 + self.rng.random())), BELL_WATCH))
             return
         self.watch_fails = 0
-        fresh = self.starts.hear(self.now, event)
+        self.starts.hear(self.now, event)
         if event.kind is not api.ListKind.CHANGES:
             listed = {line.node for line in event.nodes}
             for node in self.nodes.values():
@@ -146,14 +146,12 @@
                 if known := [node.latency for node in self.nodes.values() if node.latency != self.target]:
                     book.latency = [sum(kind) / len(known) for kind in zip(*known, strict=True)]
                 self.nodes[line.node] = book
-                if line.started_us and (since := self.starts.since(line.node)) is not None:
-                    self._started(book, line.started_us, since)
+            if line.started_us not in (0, book.started):
+                self._started(book, line.started_us, self.starts.since(self.now, line.node))
             book.listed = line.mode is api.NodeMode.READY
             if not book.listed or book.id in self.away:
                 self._retire(book)
                 continue
-            if line.node in fresh:
-                self._started(book, line.started_us, fresh[line.node])
             self._admit(book)
 
     def _started(self, node: NodeBook, told: int, since: int) -> None:
--- a/marllift/starts.py
+++ b/marllift/starts.py
@@ -22,25 +22,22 @@
         self._lead: int | None = None  # by how much discovery's clock is ahead of ours, at the least
         self._current = False  # a list has come that is not the one of an earlier process
 
-    def hear(self, now: int, news: NodeList) -> dict[NodeId, int]:
-        """Take in a list: the nodes with a start that this gateway had not heard of, and when it was on our
-        clock.  A start of 0 is long ago and no news."""
+    def hear(self, now: int, news: NodeList) -> None:
+        """Take in a list.  A start of 0 is long ago and no news."""
         fresh = [line for line in news.nodes if self._is_fresh(line)]
         for line in fresh:
             lead = line.started_us - now
             self._lead = lead if self._lead is None else max(self._lead, lead)
-        found = {line.node: self._since(now, line.started_us) for line in fresh}
         for line in fresh:
-            self._remember(line, found[line.node])
+            self._remember(line, self._since(now, line.started_us))
         if news.kind is not ListKind.CACHED and news.nodes:
             self._current = True
-        return found
 
-    def since(self, node: NodeId) -> int | None:
-        """When the latest start of a node was, where one was told; a list that drops it for a moment changes
-        nothing."""
+    def since(self, now: int, node: NodeId) -> int:
+        """When the latest start that was told of a node was, on our clock; now where none is remembered.  A
+        list that drops it for a moment changes nothing."""
         known = self._known.get(node)
-        return None if known is None else known[1]
+        return now if known is None else known[1]
 
     def _is_fresh(self, line: Node) -> bool:
         known = self._known.get(line.node)
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -131,3 +131,24 @@
     later = NOW + 60 * SECOND
     hear(heard, later, ListKind.CHANGES, (b"a", NOW - 3600 * SECOND))
     assert age_s(heard, later, b"a") == 0.0
+
+
+@pytest.mark.parametrize("off_s", [-3600, 0, 3600])
+def test_a_start_that_is_first_told_while_the_node_drains_counts_when_it_is_ready(off_s: int) -> None:
+    heard, now = gateway(NOW), NOW + SECOND
+    hear(heard, NOW, ListKind.FULL, (b"a", 0))
+    draining = api.Node(b"a", 0, api.NodeMode.DRAINING, started_us=now + off_s * SECOND)
+    heard.handle(now, [api.NodeList(ListKind.CHANGES, (draining,))])
+    hear(heard, now + SECOND, ListKind.CHANGES, (b"a", now + off_s * SECOND))
+    assert age_s(heard, now + SECOND, b"a") == 1.0
+
+
+def test_a_call_back_from_maintenance_counts_whatever_was_told_meanwhile() -> None:
+    heard, now = gateway(NOW), NOW + SECOND
+    hear(heard, NOW, ListKind.FULL, (b"a", 0))
+    heard.handle(NOW, [api.Maintenance(b"a", True)])
+    hear(heard, now, ListKind.CHANGES, (b"a", now))
+    back = now + 5 * SECOND
+    heard.handle(back, [api.Maintenance(b"a", False)])
+    hear(heard, back + SECOND, ListKind.CHANGES, (b"a", now))
+    assert age_s(heard, back + SECOND, b"a") == 1.0
