--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,123 +1,105 @@
-"""An iSCSI initiator reads its answers slowly, but steadily."""
+"""One process of a head replaces another while clients write one item in an order-keeping class."""
 
 from __future__ import annotations
 
 import asyncio
+import random
+import signal
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from iscsi import Initiator, StorageNode
-from standins import TROUBLE, CannotRun, Head, Record, free_port, play, run_command
+from standins import TROUBLE, Brick, CannotRun, Client, Discovery, Head, Record, Run, play, settings
 
-TARGET = "iqn.2026-12.ee.example:covers"
-NODES = 2
-COMMANDS = 32  # that the head's command window allows at once
-BLOCKS = 512  # of one command: 256 KiB, the most that the head takes
-SPEED = 250_000.0 if TROUBLE else 100e6  # bytes a second that the initiator reads
-RECEIVE_BUFFER = 64 * 1024
-DEADLINE_MS = 60_000  # "stands in for the time a client waits"
-LIMIT_S = 58.0
-READY_S = 20.0
-
-
-def operator_file(port: int, management: int, nodes: list[StorageNode]) -> str:
-    """An operator's file like the example of the deploy folder."""
-    extents = "".join(
-        f'\n[[lun.extent]]\nfirst = {n * 4096}\nblocks = 4096\nvolume = "{n + 10:x}"\nplan = "basic"\n'
-        f"shard = {n}\nhosts = 1\nblocks_per_unit = 64\n"
-        for n in range(NODES)
-    )
-    entries = "".join(
-        f'\n[[node]]\nid = "store-{n}"\naddress = "{node.address}"\nshard = {n}\n'
-        f'target = "iqn.2026-12.ee.example:store"\n'
-        for n, node in enumerate(nodes)
-    )
-    return f"""
-[target]
-listen = "127.0.0.1:{port}"
-management = "127.0.0.1:{management}"
-name = "{TARGET}"
-
-[limits]
-connect_timeout_ms = 250
-sockets = 1024
-memory_mb = 192
-
-[rules]
-max_attempts = 4
-may_cancel = true
-drain_grace_us = 250_000
-max_hold_off_us = 500_000
-mean_units = 2.0
-most_units = 64
-
-[[class]]
-name = "read"
-aim_ms = 5000
-deadline_ms = {DEADLINE_MS}
-late_share = 0.15
-
-[[class]]
-name = "write"
-aim_ms = 5000
-deadline_ms = {DEADLINE_MS}
-late_share = 0.15
-writes = true
-
-[[plan]]
-name = "basic"
-rate = 1000.0
-reserve = 500.0
-weight = 1.0
-price = 0.72
-
-[[lun]]
-number = 0
-block_size = 512
-{extents}{entries}"""
+ITEM = 0x7F3A9C21E0B4D655
+SERVICE_S = 0.12  # of one write at the brick
+WRITERS = 6  # clients that keep their connections
+NEWCOMER_EVERY_S = 0.4  # a further client comes, which also keeps its connection
+READY_S, YES_S, KILL_S = 20.0, 6.0, 3.7  # the pages' times: a start, a replacement, SIGTERM to SIGKILL
+APART_S = 0.05  # two requests are called earlier and later only if their last bytes lie further apart
+SLACK_S = 0.02  # and "not answered yet" means by more than this
 
 
 async def case(record: Record, folder: Path, heads: list[Head]) -> list[str]:
-    nodes = [StorageNode(record, f"store-{n}") for n in range(NODES)]
-    for node in nodes:
-        await node.start()
-    path = folder / "operator.toml"
-    head = Head(record, folder, "127.0.0.1:1", {}, {}, command=f"{run_command()} {path}")
+    applied: list[str] = []  # the writes of the item in the order in which they took effect
+
+    def apply(run: Run) -> None:
+        applied.append(run.request)
+
+    bricks = [Brick(record, f"s-{cell}", cell, lambda run: SERVICE_S, 2, apply) for cell in range(2)]
+    for brick in bricks:
+        await brick.start()
+    discovery = Discovery(bricks)
+    await discovery.start()
+    told = settings(2, guarantees={**settings(2)["guarantees"], "key_quiet_us": 400_000})
+    told["categories"][1]["keep_order"] = True
+    head = Head(record, folder, discovery.address, discovery.full(), told)
     heads.append(head)
-    first = head.start("A", lambda management: path.write_text(operator_file(head.port, management, nodes)))
+    first = head.start("A")
     if not await head.ready(first, READY_S):
-        raise CannotRun("the head is not ready")
-    initiator = Initiator(record, "initiator", head.port, TARGET)
-    await initiator.login(RECEIVE_BUFFER)
-    began = time.monotonic()
-    for number in range(COMMANDS):
-        if initiator.window < 1:
-            raise CannotRun("the head told a smaller window")
-        await initiator.read(number % NODES * 4096 + number // NODES % 8 * BLOCKS, BLOCKS)
-    ended = await initiator.read_answers(SPEED, LIMIT_S)
-    took = time.monotonic() - began
-    initiator.close()
-    await asyncio.sleep(0.2)
-    ran = sum(node.reads for node in nodes)
-    unanswered = [str(command.itt) for command in initiator.commands.values() if command.status is None]
-    record.note(
-        "judge",
-        f"after {took:.1f} s: {ended}; the nodes ran {ran} of {COMMANDS} commands, {len(unanswered)} have no"
-        f" status; the initiator has read {initiator.received_bytes} bytes, with no gap over"
-        f" {initiator.longest_gap_s:.2f} s",
-    )
-    if ran < COMMANDS:
-        record.note("judge", "some commands were refused or not run")
-    if not unanswered:
-        return []
-    if not ended.startswith("the head ended"):
-        raise CannotRun(ended)
-    return [
-        f"{ended} after {took:.1f} s of a time of {DEADLINE_MS // 1000} s, although the initiator was reading"
-        f" (longest gap {initiator.longest_gap_s:.2f} s); commands without a status: {', '.join(unanswered)}"
-    ]
+        raise CannotRun("the first process is not ready")
+
+    clients: list[Client] = []
+    tasks: list[asyncio.Task[None]] = []
+    going = True
+
+    async def write_on(client: Client) -> None:
+        while going:
+            await client.request("write", "basic", 0xA, shard=0, key=ITEM, timeout_ms=5000, body=b"x" * 200)
+            await asyncio.sleep(random.uniform(0.0, 0.1))
+
+    def come() -> None:
+        client = Client(record, f"c{len(clients)}", head.port)
+        clients.append(client)
+        tasks.append(asyncio.create_task(write_on(client)))
+
+    for _ in range(WRITERS):
+        come()
+    await asyncio.sleep(1.5)
+    if TROUBLE:
+        second = head.start("B")
+        if not await head.ready(second, YES_S):
+            raise CannotRun("the second process is not ready in time")
+        head.signal(first, signal.SIGTERM)
+    for _ in range(4):
+        come()
+        await asyncio.sleep(NEWCOMER_EVERY_S)
+    if TROUBLE and not await head.ended(first, KILL_S - 4 * NEWCOMER_EVERY_S):
+        head.signal(first, signal.SIGKILL)
+    await asyncio.sleep(1.0)
+    going = False
+    await asyncio.gather(*tasks)
+
+    runs = {run.request: run for brick in bricks for run in brick.runs}
+    # Only writes that were served count, so that nothing rests on what became of the others.
+    served = [
+        sent for client in clients for sent in client.sent
+        if sent.status == 200 and sent.answered is not None and sent.request in runs
+    ]  # fmt: skip
+    turn = {request: number for number, request in enumerate(applied)}
+    record.note("judge", f"{len(served)} writes of the item were served, {len(runs)} reached the brick")
+    if len(served) < 10:
+        raise CannotRun("too few writes were served")
+    breaks = []
+    for earlier in served:
+        for later in served:
+            if earlier.written + APART_S >= later.written:
+                continue
+            reached = runs[later.request].arrived
+            assert earlier.answered is not None
+            if reached >= earlier.answered - SLACK_S:
+                continue
+            before = runs[earlier.request]
+            done = before.ended or earlier.answered
+            out = before.arrived < reached < done - SLACK_S
+            lost = turn[later.request] < turn[earlier.request]
+            breaks.append(
+                f"{later.request} (sent {later.written:.3f}) reached the brick at {reached:.3f}, before"
+                f" {earlier.request} (sent {earlier.written:.3f}, answered {earlier.answered:.3f}) was finished"
+                + ("; both ran at once" if out else "")
+                + ("; the earlier write took effect last and has overwritten the later one" if lost else "")
+            )
+    return breaks
 
 
 sys.exit(play(case, Path(__file__).resolve().parent))
--- a/review/standins.py
+++ b/review/standins.py
@@ -165,7 +165,8 @@
         finally:
             self._writers.discard(writer)
             self._tasks.discard(task)
-            writer.close()
+            with suppress(RuntimeError):  # the loop is closed already
+                writer.close()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         raise NotImplementedError
@@ -198,13 +199,16 @@
         self.record, self.name, self.cell = record, name, cell
         self.runs: list[Run] = []
         self.phase = "Ready"
+        self.building = "ruum-1"
+        self.listed_at = ""  # the address in the list, if it is not the brick's own
         self.up_since_ms = 0
         self._service_s, self._apply = service_s, apply
         self._cores = asyncio.Semaphore(cores)  # first come, first served
 
     def listed(self) -> dict[str, Any]:
         return {
-            "id": self.name, "host_port": self.address, "locality": "ruum-1", "flavor": "node-2c",
+            "id": self.name, "host_port": self.listed_at or self.address, "locality": self.building,
+            "flavor": "node-2c",
             "cell": self.cell, "phase": self.phase, "size": 1.0, "up_since_ms": self.up_since_ms,
         }
 
