Count a raised limit of a volume from its change on, not for the time before

Cause: policy/rate_limits.py update_settings changed the plan of a bucket that was filled up to its last request only; the next fill applied the new rate to the whole gap. Change: buckets are filled at the rates in force before they change. Why it works: a fill never spans a change of the settings any more.

Measured: tests/policy/test_rate_limits.py fails before on the missing time of the change and passes with it; no other test of tests/policy/test_gateway.py changes. Not measured on sockets.

--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -202,7 +202,7 @@
         old_targets_us = self.state.latency_targets_us
         self.state.update_settings(settings)
         self.slow_start.update_settings(settings)
-        self.rate_limits.update_settings(settings)
+        self.rate_limits.update_settings(self.state.now, settings)
         self.retry_budget.update_settings(settings)
         self.recovery.update_settings(settings)
         self.node_table.update_classes(old_targets_us)
--- a/gaugesail/policy/rate_limits.py
+++ b/gaugesail/policy/rate_limits.py
@@ -34,13 +34,19 @@
         self._floors: dict[str, tuple[float, float]] = {}  # by plan: rate, burst
         self._floors_at = started_at
 
-    def update_settings(self, settings: Settings) -> None:
-        """Apply new settings; each bucket follows its plan by name."""
+    def update_settings(self, now: int, settings: Settings) -> None:
+        """Apply new settings from ``now`` on; each bucket follows its plan by name."""
+        self._settle(now)
         self._settings = settings
         plans = {plan.name: plan for plan in settings.plans}
         for bucket in self._buckets.values():
             bucket.plan = plans.get(bucket.plan.name, bucket.plan)
 
+    def _settle(self, now: int) -> None:
+        """Fill all buckets up to ``now`` at the rates in force, which are about to change."""
+        for bucket in self._buckets.values():
+            bucket.fill(now, self._lease_until)
+
     def _key(self, plan: str, volume: int, gateways_in_use: float) -> tuple[str, int, float]:
         return plan, volume, 0.0 if self._settings.fleet_quota else gateways_in_use
 
