Divide bursts, free retries and slow start between the processes of a gateway

Cause: rate_limits.py refill halved the rate and not the burst, and the rate of the time after the overlap was applied to the time of it. A successor counted from its own start, not from when its predecessor had halved its part: its bucket, its free retries (retry_budget.py) and its share of nodes that warm up (slow_start.py) came on top of what the predecessor had just used. After the end of either, the other took back the free retries at once, within the window in which they still count.

Change: SiblingProcessChanged settles all buckets, divides rate and burst and drops the excess; a successor starts empty when its predecessor has halved, has no free retry for a window, and counts that moment as its start for slow start. New buckets are filled over the last eight periods of unchanged rates. Why it works: at each moment the parts of both add up to at most one process's, and nothing is credited for a time under other parts.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -98,6 +98,7 @@
         self.in_maintenance: set[NodeId] = set()
         self.closing = False
         self.key_link: KeyLink | None = None  # to the sibling process
+        self.has_sibling = False  # another process of this gateway runs in parallel
         self._listed = ListedNodes()
         self._table = RequestTable()
         self._open = self._table.open
@@ -291,9 +292,13 @@
         """
         return self.policy.gateway.rate_limits.drain_demand(self._clock.now_us())
 
-    def set_sibling_process(self, present: bool) -> None:
-        """Set whether another process of this gateway serves in parallel with this one."""
-        self._run_with(SiblingProcessChanged(present))
+    def set_sibling_process(self, present: bool, is_predecessor: bool = False) -> None:
+        """Set whether another process of this gateway serves in parallel with this one.
+
+        :param is_predecessor: the other process has used this gateway's limits and budgets up to now.
+        """
+        self.has_sibling = present
+        self._run_with(SiblingProcessChanged(present, is_predecessor))
 
     def receive_key_claim(self, event: KeyClaimed | KeyReleased) -> None:
         """Pass on a claim, or the end of one, of the sibling process."""
--- a/gaugesail/policy/dispatch.py
+++ b/gaugesail/policy/dispatch.py
@@ -113,7 +113,7 @@
             return bool(volume.plan.limit) and request.units > volume.limit_bucket.units
         if self._is_outside_zone(request, node):
             return True
-        return not self._retry_budget.retry_allowed(now, self._state.process_count)
+        return not self._retry_budget.retry_allowed(self._state)
 
     @staticmethod
     def _is_outside_zone(request: PendingRequest, node: NodeRecord) -> bool:
--- a/gaugesail/policy/events.py
+++ b/gaugesail/policy/events.py
@@ -152,9 +152,13 @@
 
 @dataclass(slots=True, frozen=True)
 class SiblingProcessChanged:
-    """Another process of this gateway has started or stopped serving beside this one."""
+    """Another process of this gateway has started or stopped serving beside this one.
+
+    :param is_predecessor: the other process has used this gateway's limits and budgets up to now.
+    """
 
     present: bool
+    is_predecessor: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -165,7 +165,7 @@
             case MaintenanceChanged():
                 self.node_table.set_maintenance(event)
             case SiblingProcessChanged():
-                self.state.set_sibling(event.present)
+                self._change_sibling(event)
             case SettingsChanged():
                 self._update_settings(event.settings)
             case QuotaChanged():
@@ -184,6 +184,15 @@
             case KeyAuthorityChanged():
                 self.ordered_keys.change_authority(event)
 
+    def _change_sibling(self, event: SiblingProcessChanged) -> None:
+        """Divide this gateway's limits and budgets between two processes, or use them alone."""
+        now = self.state.now
+        self.state.set_sibling(event)
+        self.rate_limits.divide(now, self.state.process_count)
+        if event.is_predecessor:
+            self.rate_limits.restart(now)
+            self.slow_start.restart(now)
+
     def _update_endpoints(self, event: EndpointList) -> None:
         if event.kind is EndpointListKind.FAILED:
             renew_at = self._endpoint_watch.failed()
--- a/gaugesail/policy/gateway_state.py
+++ b/gaugesail/policy/gateway_state.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from .actions import Action
+from .events import SiblingProcessChanged
 from .records import ShardRecord
 from .retry_policy import RetryPolicy
 from .settings import Settings
@@ -26,8 +27,9 @@
         self.random = random  # for jitter
         self.started_at = now
         self.now = now
-        # Until then, in microseconds, a second process shares the limits; infinite while it is present.
-        self.sibling_counts_until = 0.0
+        # When the second process ended, in microseconds; infinite while it is present.
+        self.sibling_until = float("-inf")
+        self.predecessor_shares_since = float("-inf")  # until then it used all limits and budgets alone
         self.actions: list[Action] = []
         self.changed_shards: dict[int, ShardRecord] = {}  # to dispatch at the end of the batch
         self.class_positions: dict[str, int] = {}
@@ -59,13 +61,20 @@
 
     @property
     def process_count(self) -> int:
-        """Number of processes that share this gateway's limits: 1 or 2."""
-        return 1 + (self.now < self.sibling_counts_until)
+        """Number of processes that share this gateway's part of the nodes: 1 or 2."""
+        # A node that is warming up may still hold what the other process sent in the last window.
+        return self.process_count_within(self.settings.overload_window_us)
 
-    def set_sibling(self, present: bool) -> None:
+    def process_count_within(self, window_us: int) -> int:
+        """Number of processes, 1 or 2, that share what is counted over a window up to now."""
+        return 1 + (self.now < self.sibling_until + window_us)
+
+    def predecessor_counts_within(self, window_us: int) -> bool:
+        """Whether a predecessor may have used more than its part of what is counted over this window."""
+        return self.now < self.predecessor_shares_since + window_us
+
+    def set_sibling(self, event: SiblingProcessChanged) -> None:
         """Record whether another process of this gateway serves beside this one."""
-        if present:
-            self.sibling_counts_until = float("inf")
-        else:
-            # A node that is warming up may still hold what the other process sent in the last window.
-            self.sibling_counts_until = self.now + self.settings.overload_window_us
+        self.sibling_until = float("inf") if event.present else float(self.now)
+        if event.is_predecessor:
+            self.predecessor_shares_since = float(self.now)
--- a/gaugesail/policy/rate_limits.py
+++ b/gaugesail/policy/rate_limits.py
@@ -1,6 +1,7 @@
 """The rate limits of plans at one gateway: a token bucket for each volume under a limit.
 
-Where gateways may not exchange messages, each has an even share of a limit.  Where the fleet divides a limit
+Where gateways may not exchange messages, each has an even share of a limit, which two processes of one
+gateway split.  Where the fleet divides a limit
 (docs/fleet-agreement.md), a bucket fills at the rate of the floor plus the leased allocation, and at that of
 the floor alone once the lease has ended.  A bucket starts empty, as an earlier process may have spent all of
 this gateway's units.  A bucket whose burst grows keeps its units; one whose burst shrinks loses the excess.
@@ -8,12 +9,25 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, replace
+from itertools import pairwise
+
 from .events import QuotaChanged
 from .settings import Plan, Settings
 from .token_bucket import TokenBucket
 
 FLOOR_HOLD_US = 1_000_000  # an attempt without a lease must start within this time
 NO_QUOTA = (0.0, 0.0)  # rate and burst
+MAX_PERIODS = 8  # remembered; a new bucket counts as empty before them
+
+
+@dataclass(slots=True, frozen=True)
+class Period:
+    """A time in which the rates did not change, for the buckets of volumes that have had no request yet."""
+
+    since: int
+    plans: dict[str, Plan]
+    process_count: int
 
 
 class RateLimits:
@@ -25,7 +39,7 @@
 
     def __init__(self, settings: Settings, started_at: int) -> None:
         self._settings = settings
-        self._started_at = started_at
+        self._periods = [Period(started_at, {plan.name: plan for plan in settings.plans}, 1)]
         self._lease_until = 0
         # With ``fleet_quota``, the gateways in use of a key are 0.
         self._buckets: dict[tuple[str, int, float], TokenBucket] = {}  # by plan, volume, gateways in use
@@ -39,6 +53,7 @@
         self._settle(now)
         self._settings = settings
         plans = {plan.name: plan for plan in settings.plans}
+        self._begin_period(Period(now, plans, self._periods[-1].process_count))
         for bucket in self._buckets.values():
             bucket.plan = plans.get(bucket.plan.name, bucket.plan)
 
@@ -47,6 +62,30 @@
         for bucket in self._buckets.values():
             bucket.fill(now, self._lease_until)
 
+    def _begin_period(self, period: Period) -> None:
+        self._periods = [*self._periods, period][-MAX_PERIODS:]
+
+    def restart(self, now: int) -> None:
+        """Fill from ``now`` on only: a predecessor has used what this gateway had before."""
+        self._periods = [replace(self._periods[-1], since=now)]
+        for bucket in self._buckets.values():
+            bucket.units = min(bucket.units, 0.0)
+            bucket.filled_at = now
+
+    def divide(self, now: int, process_count: int) -> None:
+        """Split the units, rates and bursts of the even shares between this number of processes."""
+        self._settle(now)
+        self._begin_period(replace(self._periods[-1], since=now, process_count=process_count))
+        if self._settings.fleet_quota:
+            return
+        for (_, _, gateways_in_use), bucket in self._buckets.items():
+            self._set_even_share(bucket, gateways_in_use * process_count)
+            bucket.clamp()
+
+    @staticmethod
+    def _set_even_share(bucket: TokenBucket, parts: float) -> None:
+        bucket.set_own(bucket.plan.limit / parts, bucket.plan.limit_burst / parts)
+
     def _key(self, plan: str, volume: int, gateways_in_use: float) -> tuple[str, int, float]:
         return plan, volume, 0.0 if self._settings.fleet_quota else gateways_in_use
 
@@ -57,8 +96,10 @@
         key = self._key(plan.name, volume, gateways_in_use)
         bucket = self._buckets.get(key)
         if bucket is None:
-            bucket = self._buckets[key] = TokenBucket(plan, self._started_at)
-            if self._settings.fleet_quota:
+            bucket = self._buckets[key] = TokenBucket(plan, self._periods[0].since)
+            if not self._settings.fleet_quota:
+                self._fill_past_periods(bucket, gateways_in_use)
+            else:
                 bucket.filled_at = self._floors_at
                 bucket.set_own(*self._floors.get(plan.name, NO_QUOTA))
                 bucket.fill(now, 0)
@@ -66,6 +107,20 @@
         bucket.users += 1
         return bucket
 
+    def _fill_past_periods(self, bucket: TokenBucket, gateways_in_use: float) -> None:
+        """Fill a new bucket up to the start of the present period, at the rates of each one before."""
+        plan = bucket.plan
+        for period, following in pairwise(self._periods):
+            bucket.plan = period.plans.get(plan.name, plan)
+            self._set_even_share(bucket, gateways_in_use * period.process_count)
+            bucket.clamp()
+            if plan.name in period.plans:
+                bucket.fill(following.since, 0)
+            bucket.filled_at = following.since
+        bucket.plan = plan
+        self._set_even_share(bucket, gateways_in_use * self._periods[-1].process_count)
+        bucket.clamp()
+
     def record_demand(self, now: int, bucket: TokenBucket, volume: int, units: float) -> None:
         """Count the units of a received request: the fleet divides limits by demand, served or not."""
         if self._settings.fleet_quota and bucket.plan.limit:
@@ -73,11 +128,9 @@
             self._requested[bucket.plan.name, volume] = bucket
 
     def refill(self, now: int, bucket: TokenBucket, gateways_in_use: float, process_count: int) -> None:
-        """Fill a bucket up to ``now``; two processes of one gateway split the rate of an even share."""
+        """Fill a bucket up to ``now``; two processes of one gateway split an even share."""
         if not self._settings.fleet_quota:
-            plan = bucket.plan
-            bucket.own_rate = plan.limit / gateways_in_use / process_count
-            bucket.own_burst = plan.limit_burst / gateways_in_use
+            self._set_even_share(bucket, gateways_in_use * process_count)
         bucket.fill(now, self._lease_until)
 
     def spend(self, now: int, bucket: TokenBucket, units: float) -> int:
--- a/gaugesail/policy/retry_budget.py
+++ b/gaugesail/policy/retry_budget.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 
+from .gateway_state import GatewayState
 from .settings import Settings
 
 
@@ -43,13 +44,16 @@
         while self._retries and self._retries[0] < now - window_us:
             self._retries.popleft()
 
-    def retry_allowed(self, now: int, process_count: int) -> bool:
+    def retry_allowed(self, state: GatewayState) -> bool:
         """Return whether one more retry stays within the budget.
 
-        :param process_count: the processes of this gateway, 1 or 2; they split the free retries.
+        Two processes of this gateway split the free retries; a predecessor may have used all of them.
         """
-        if not self._settings.retry_budget_window_us:
+        window_us = self._settings.retry_budget_window_us
+        if not window_us:
             return True
-        self.drop_expired(now)
-        free = self._settings.retry_budget_free / process_count
+        self.drop_expired(state.now)
+        free = self._settings.retry_budget_free / state.process_count_within(window_us)
+        if state.predecessor_counts_within(window_us):
+            free = 0.0
         return len(self._retries) + 1 <= free + self._settings.retry_budget_share * len(self._requests)
--- a/gaugesail/policy/slow_start.py
+++ b/gaugesail/policy/slow_start.py
@@ -48,6 +48,10 @@
         self._unserved = UnservedUnits()
         self.update_settings(settings)
 
+    def restart(self, now: int) -> None:
+        """Count as started now: a predecessor has used the shares of nodes that started before."""
+        self._started_at = now
+
     def update_settings(self, settings: Settings) -> None:
         """Apply new settings; the records of sent units stay."""
         self._settings = settings
--- a/gaugesail/predecessor.py
+++ b/gaugesail/predecessor.py
@@ -53,8 +53,11 @@
         """Whether the clients' address is open in this process."""
         ...
 
-    def sibling_process(self, present: bool) -> None:
-        """Set whether another process of this gateway runs in parallel with this one."""
+    def sibling_process(self, present: bool, is_predecessor: bool = False) -> None:
+        """Set whether another process of this gateway runs in parallel with this one.
+
+        :param is_predecessor: the other process has used this gateway's limits and budgets up to now.
+        """
         ...
 
     def follow(self, call: OperatorCall) -> None:
@@ -175,7 +178,7 @@
         if not self.present:
             self.present = True
             self._owner.keys.wait()
-            self._owner.sibling_process(True)
+            self._owner.sibling_process(True, is_predecessor=True)
 
     def _predecessor_ended(self, why: str) -> None:
         """The predecessor has ended: without its last report, its attempts may be running on any key."""
@@ -214,6 +217,7 @@
             case TakeoverOffer():
                 self._take_over(connection, message)
             case NoTakeover():
+                self._owner.sibling_process(True, is_predecessor=True)  # which has now halved its limits
                 self._no_takeover("stopping")
             case AnswerOffer():
                 descriptors = connection.pop_descriptors(DESCRIPTORS_OF_AN_ANSWER)
@@ -235,6 +239,7 @@
                 f"expected a takeover of version {VERSION} with a descriptor,"
                 f" received version {offer.version} with {len(connection.received_descriptors)} descriptors"
             )
+        self._owner.sibling_process(True, is_predecessor=True)  # which has now halved its limits
         takeover = Takeover(connection.received_descriptors.popleft(), offer.state)
         if (requested := self._pop_request()) is not None:
             requested.callback(takeover)
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -222,10 +222,11 @@
         listed = [node_id.decode(errors="replace") for node_id in self.engine.listed_nodes]
         return Takeover(self._port.fileno(), {"seen": listed})
 
-    def sibling_process(self, present: bool) -> None:
+    def sibling_process(self, present: bool, is_predecessor: bool = False) -> None:
         """Halve this process's limits while another one of this gateway is running."""
-        self._log.info("sibling_process_started" if present else "sibling_process_ended")
-        self.engine.set_sibling_process(present)
+        if present != self.engine.has_sibling:
+            self._log.info("sibling_process_started" if present else "sibling_process_ended")
+        self.engine.set_sibling_process(present, is_predecessor)
         self.buffers.trim(self._max_buffers // 2 if present else self._max_buffers)
         self.limit(2 if present else 1)
 
