Move the key messages out of the engine and the counts line out of the service

Change: core/shared_keys.py passes claims and grants between the policy and the sibling process, counts_report.py writes the counts line; the interface KeyDecisions, which had one implementation, is gone. Nothing that the program does changes.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -14,13 +14,10 @@
     Action,
     CancelAttempt,
     CheckHealth,
-    ClaimKey,
     CloseIdleConnections,
     FailRequest,
-    GrantKey,
     PollEndpoints,
     RejectRequest,
-    ReleaseKey,
     SendPeerMessage,
     SetTimer,
     StartAttempt,
@@ -31,10 +28,6 @@
     ClientDisconnected,
     EndpointList,
     EndpointState,
-    KeyAuthorityChanged,
-    KeyClaimed,
-    KeyGranted,
-    KeyReleased,
     MaintenanceChanged,
     QuotaChanged,
     RequestReceived,
@@ -58,13 +51,13 @@
     Clock,
     Discovery,
     FailureReason,
-    KeyLink,
     Logger,
     NodeTransport,
     Reply,
 )
 from .request_table import OpenRequest, RequestTable
 from .rules import RuleMonitor, RuleViolation
+from .shared_keys import SharedKeys
 from .trace import Step, Trace
 
 MAX_OPEN_REQUESTS = 4096
@@ -97,7 +90,6 @@
         self.rules = RuleMonitor(settings.drain_grace_us, log, self._activity.trace)
         self.in_maintenance: set[NodeId] = set()
         self.closing = False
-        self.key_link: KeyLink | None = None  # to the sibling process
         self.has_sibling = False  # another process of this gateway runs in parallel
         self._listed = ListedNodes()
         self._table = RequestTable()
@@ -106,6 +98,7 @@
         self._deadlines = DeadlineQueue(clock, self._deadlines_due)
         gateway = Gateway(settings, seed, clock.now_us())
         self.policy = PolicyRunner(gateway, clock, self._activity, self._open, self._carry_out)
+        self.keys = SharedKeys(self.policy)
         self.attempts = Attempts(
             clock,
             transport,
@@ -260,7 +253,7 @@
                 self._activity.note(name, Step.LISTED, endpoint.state.name.lower())
             self._listed.add(endpoint.node_id)
         self._listed.trim()
-        self._run_with(endpoints)
+        self.policy.run_with(endpoints)
 
     def has_listed(self, node_id: NodeId) -> bool:
         """Whether an endpoint list has ever named this node."""
@@ -279,11 +272,11 @@
         """Apply new settings to requests received from now on."""
         self.settings = settings
         self.rules.drain_grace_us = settings.drain_grace_us
-        self._run_with(SettingsChanged(settings))
+        self.policy.run_with(SettingsChanged(settings))
 
     def change_quota(self, event: QuotaChanged) -> None:
         """Apply a new quota from the fleet."""
-        self._run_with(event)
+        self.policy.run_with(event)
 
     def drain_quota_demand(self) -> list[tuple[str, int, float, float, float]]:
         """Return and reset the demand of each limited volume that had requests since the last call.
@@ -298,43 +291,13 @@
         :param is_predecessor: the other process has used this gateway's limits and budgets up to now.
         """
         self.has_sibling = present
-        self._run_with(SiblingProcessChanged(present, is_predecessor))
-
-    def receive_key_claim(self, event: KeyClaimed | KeyReleased) -> None:
-        """Pass on a claim, or the end of one, of the sibling process."""
-        self.policy.add_when_read(event)
-
-    def receive_key_grant(self, event: KeyGranted) -> None:
-        """Pass on that the sibling process has granted a claim."""
-        self._run_with(event)
-
-    def change_key_authority(self, event: KeyAuthorityChanged) -> None:
-        """Change which process decides the order of keys."""
-        self._run_with(event)
-
-    @property
-    def possibly_running_keys(self) -> tuple[tuple[int, int], ...]:
-        """The ordered keys that attempts may be running on, each with the end of its pause."""
-        return self.policy.gateway.ordered_keys.possibly_running()
+        self.policy.run_with(SiblingProcessChanged(present, is_predecessor))
 
     def set_maintenance(self, node_id: NodeId, on: bool) -> None:
         """Begin or end the maintenance of a node: like a drain, but endpoint lists do not end it."""
         (self.in_maintenance.add if on else self.in_maintenance.discard)(node_id)
         self._transport.set_maintenance(node_id, on)
-        self._run_with(MaintenanceChanged(node_id, on))
-
-    def _run_with(
-        self,
-        event: EndpointList
-        | SettingsChanged
-        | QuotaChanged
-        | SiblingProcessChanged
-        | MaintenanceChanged
-        | KeyGranted
-        | KeyAuthorityChanged,
-    ) -> None:
-        self.policy.add_without_run(event)
-        self.policy.run()
+        self.policy.run_with(MaintenanceChanged(node_id, on))
 
     def fail_all(self) -> None:
         """Fail all open requests and reject new ones, as the process is about to be killed."""
@@ -376,19 +339,7 @@
             case SendPeerMessage():
                 self._log.warning("no_peers")  # the policy's messages between gateways have no transport
             case _:
-                self._carry_out_on_key(action)
-
-    def _carry_out_on_key(self, action: Action) -> None:
-        """Carry out an action that concerns an ordered key, in the sibling process."""
-        if self.key_link is None:
-            return
-        match action:
-            case ClaimKey():
-                self.key_link.claim_key(action)
-            case ReleaseKey():
-                self.key_link.release_key(action)
-            case GrantKey():
-                self.key_link.grant_key(action)
+                self.keys.carry_out(action)
 
     def _fail_overdue(self, request_id: int) -> None:
         """Fail a request that is still open at its deadline, or when the process is about to be killed."""
--- a/gaugesail/core/policy_runner.py
+++ b/gaugesail/core/policy_runner.py
@@ -59,6 +59,11 @@
         if self._read is None:
             self._read = self._clock.call_later(0, self._sockets_read)
 
+    def run_with(self, event: Event) -> None:
+        """Pass an event to the policy at once, with those that are pending."""
+        self._events.append(event)
+        self.run()
+
     def run(self) -> None:
         """Pass the pending events to the policy and carry out its actions; never raises and never nests."""
         if self._running or not self.started:
--- /dev/null
+++ b/gaugesail/counts_report.py
@@ -0,0 +1,55 @@
+"""Logs the state of a gateway, and the counters that changed since the last report."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Protocol
+
+from .buffers import BufferPool
+from .core.engine import Engine
+from .logs import RateLimitedLogger
+
+
+class ConnectionCount(Protocol):
+    """The clients' or the nodes' side of a gateway."""
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        ...
+
+
+class CountsReport:
+    """The log line ``counts`` of one gateway."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        front: ConnectionCount,
+        transport: ConnectionCount,
+        buffers: BufferPool,
+        log: RateLimitedLogger,
+    ) -> None:
+        self._engine = engine
+        self._front = front
+        self._transport = transport
+        self._buffers = buffers
+        self._log = log
+        self._reported: Counter[str] = Counter()
+
+    def write(self) -> None:
+        """Log the line."""
+        counts = self._engine.counts + self._engine.rejections + self._engine.rules.violations
+        changes = dict(counts - self._reported)
+        self._reported = Counter(counts)
+        self._log.info(
+            "counts",
+            open=self._engine.open_requests,
+            out=self._engine.attempts_in_flight,
+            clients=self._front.connections,
+            nodes=self._transport.connections,
+            buffers=self._buffers.out,
+            maintenance=len(self._engine.in_maintenance),
+            lines_dropped=self._log.dropped,
+            **changes,
+        )
--- a/gaugesail/key_coordination.py
+++ b/gaugesail/key_coordination.py
@@ -6,37 +6,15 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 from gaugesail.policy.actions import ClaimKey, GrantKey, ReleaseKey
 from gaugesail.policy.events import KeyAuthority, KeyAuthorityChanged, KeyClaimed, KeyGranted, KeyReleased
 
 from .core.ports import Clock, Logger
+from .core.shared_keys import SharedKeys
 from .handover_connection import HandoverConnection
 from .handover_messages import KeyClaim, KeyGrant, KeyMessage, KeyRelease, KeysPaused, MalformedMessage
 
 
-class KeyDecisions(Protocol):
-    """The subset of the engine that the coordination uses; times are of the engine's clock."""
-
-    @property
-    def possibly_running_keys(self) -> tuple[tuple[int, int], ...]:
-        """The ordered keys that attempts may be running on, each with the end of its pause."""
-        ...
-
-    def receive_key_claim(self, event: KeyClaimed | KeyReleased) -> None:
-        """Pass on a claim, or the end of one, of the sibling process."""
-        ...
-
-    def receive_key_grant(self, event: KeyGranted) -> None:
-        """Pass on that the sibling process has granted a claim."""
-        ...
-
-    def change_key_authority(self, event: KeyAuthorityChanged) -> None:
-        """Change which process decides the order of keys."""
-        ...
-
-
 class KeyCoordination:
     """One process's part in the order of keys; implements ``KeyLink`` for the engine.
 
@@ -44,7 +22,7 @@
     """
 
     def __init__(self, clock: Clock, log: Logger) -> None:
-        self.decisions: KeyDecisions  # set before any other process is looked for
+        self.decisions: SharedKeys  # set before any other process is looked for
         self._clock = clock
         self._log = log
         self._authority = KeyAuthority.OWN
@@ -80,16 +58,16 @@
         if event.authority is not self._authority:
             self._log.info("key_authority", process=event.authority.value)
         self._authority = event.authority
-        self.decisions.change_key_authority(event)
+        self.decisions.change_authority(event)
 
     @property
     def settled(self) -> bool:
         """Whether no attempt of this process is running on any ordered key."""
-        return not self.decisions.possibly_running_keys
+        return not self.decisions.possibly_running
 
     def final_report(self) -> KeysPaused:
         """Stop sending ordered requests, and return where the last attempts may be running."""
-        running = self.decisions.possibly_running_keys
+        running = self.decisions.possibly_running
         self.wait()
         return KeysPaused(tuple((key, self._clock.to_machine_us(until)) for key, until in running))
 
@@ -127,12 +105,12 @@
             case KeyClaim():
                 received_at = self._clock.from_machine_us(message.received_us)
                 event = KeyClaimed(message.claim_id, message.key, received_at, message.is_held)
-                self.decisions.receive_key_claim(event)
+                self.decisions.receive_claim(event)
             case KeyRelease():
                 until_us = message.paused_until_us
                 paused_until = self._clock.from_machine_us(until_us) if until_us else 0
-                self.decisions.receive_key_claim(KeyReleased(message.claim_id, paused_until))
+                self.decisions.receive_claim(KeyReleased(message.claim_id, paused_until))
             case KeyGrant():
-                self.decisions.receive_key_grant(KeyGranted(message.claim_id))
+                self.decisions.receive_grant(KeyGranted(message.claim_id))
             case KeysPaused():
                 self.decide(paused=message)
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import fields
 from typing import Any, Protocol
@@ -18,6 +17,7 @@
 from .core.engine import Engine
 from .core.ports import Clock, Logger, Reactor
 from .core.settings_transition import TRANSITION_US, transition_settings
+from .counts_report import CountsReport
 from .handover import Handover, adopt_port
 from .handover_connection import Takeover
 from .http.management import ACCEPTS_PER_ITERATION, ManagementServer
@@ -111,7 +111,7 @@
         self._replaced = False
         self._latest_settings: Settings  # in force, or will be at the end of the transition
         self._sweeps = 0
-        self._reported: Counter[str] = Counter()
+        self._counts_report: CountsReport
         self.fleet: FleetMember | None = None
         self.waits_for_list = False  # accept nothing with a cached endpoint list, which may miss drains
 
@@ -122,8 +122,9 @@
 
         The Deferred fires when the clients' address is open, and fails if it cannot be opened.
         """
-        self.keys.decisions = self.engine
-        self.engine.key_link = self.keys
+        self._counts_report = CountsReport(self.engine, self.front, self.transport, self.buffers, self._log)
+        self.keys.decisions = self.engine.keys
+        self.engine.keys.link = self.keys
         if self.management_address is None:
             return self._handover.request_takeover().addCallback(self._open_clients_address)
         host, port = self.management_address
@@ -401,21 +402,4 @@
             self.hand_over_answers()
         self._sweeps += 1
         if self._sweeps % SWEEPS_PER_REPORT == 0:
-            self._report_counts()
-
-    def _report_counts(self) -> None:
-        """Log the current state, and the counters that changed since the last report."""
-        counts = self.engine.counts + self.engine.rejections + self.engine.rules.violations
-        changes = dict(counts - self._reported)
-        self._reported = Counter(counts)
-        self._log.info(
-            "counts",
-            open=self.engine.open_requests,
-            out=self.engine.attempts_in_flight,
-            clients=self.front.connections,
-            nodes=self.transport.connections,
-            buffers=self.buffers.out,
-            maintenance=len(self.engine.in_maintenance),
-            lines_dropped=self._log.dropped,
-            **changes,
-        )
+            self._counts_report.write()
