Do not fill the buckets of volumes that no limit binds

Cause: refill runs for each waiting request of each choice; since the even share is set there it had grown dearer, also where plans have no limit. Change: a bucket without a limit is left alone; it is settled as its plan changes.

--- a/gaugesail/policy/rate_limits.py
+++ b/gaugesail/policy/rate_limits.py
@@ -129,6 +129,8 @@
 
     def refill(self, now: int, bucket: TokenBucket, gateways_in_use: float, process_count: int) -> None:
         """Fill a bucket up to ``now``; two processes of one gateway split an even share."""
+        if not bucket.plan.limit:
+            return
         if not self._settings.fleet_quota:
             self._set_even_share(bucket, gateways_in_use * process_count)
         bucket.fill(now, self._lease_until)
