Let a replacement be repeated after the end of the new process

Cause: the symlink that names the running process's socket stayed on the dead one's, and a process that waits for the address asked for it only once. Change: the process that lives points the symlink back to its own socket, and one that waits for the address looks at the symlink with each try. Why it works: the symlink names a process that lives at each moment in which the address is held.

--- a/gaugesail/handover.py
+++ b/gaugesail/handover.py
@@ -85,6 +85,7 @@
         self._folder_descriptor: int | None = None
         self._port: Any = None
         self.predecessor = PredecessorLink(reactor, clock, log, owner)
+        self._asked_name = ""  # of the socket that was asked for a takeover
         self._connection: HandoverConnection | None = None  # to the successor
         self._offer_call: ports.DelayedCall | None = None  # for a successor that has sent no Hello
         self._has_offered = False  # the process at the connection counts as a sibling
@@ -114,12 +115,24 @@
         try:
             # The process's own socket: the symlink will name another.  Old versions have no symlink.
             is_permanent = link.is_symlink()
-            address = self._path(os.readlink(link) if is_permanent else self._link_name)
+            name = os.readlink(link) if is_permanent else self._link_name
+            address = self._path(name)
         except OSError as error:
             self.log.info("no_predecessor", why=repr(error))
             return succeed(None)
+        if name == self._asked_name:
+            return succeed(None)
+        self._asked_name = name
         return self.predecessor.request_takeover(address, is_permanent)
 
+    def look_again(self) -> None:
+        """Look whether the symlink names another process, as the clients' address is in use.
+
+        What that process hands over is kept for ``PredecessorLink.pop_takeover``.
+        """
+        if not self.predecessor.searching:
+            self.request_takeover().addCallback(self.predecessor.keep_takeover)
+
     def announce_serving(self) -> None:
         """Notify the predecessor that this process serves, and listen for a successor."""
         self.predecessor.announce_serving()
@@ -135,13 +148,27 @@
         """Listen on this process's own socket, and point the symlink that successors use to it."""
         factory = ConnectionFactory(self, False)
         self._port = self._reactor.listenUNIX(self._path(self._socket_name), factory, mode=0o600)
+        self._point_link(folder, not self.predecessor.present)
+
+    def _point_link(self, folder: Path, remove_previous: bool) -> None:
+        """Point the symlink to this process's own socket; the one before may be that of a killed process."""
         link = folder / self._link_name
         new_link = folder / f"{self._socket_name}.link"
+        new_link.unlink(missing_ok=True)
         new_link.symlink_to(self._socket_name)
-        previous = folder / os.readlink(link) if link.is_symlink() else None
+        previous = os.readlink(link) if link.is_symlink() else self._socket_name
         new_link.replace(link)
-        if previous is not None and not self.predecessor.present:  # left behind by a process that was killed
-            previous.unlink(missing_ok=True)
+        if remove_previous and previous != self._socket_name:
+            (folder / previous).unlink(missing_ok=True)
+
+    def _restore_link(self) -> None:
+        """Point the symlink back to this process after its successor's end, for another successor."""
+        if self._port is None or self._folder is None:
+            return
+        try:
+            self._point_link(self._folder, remove_previous=True)
+        except OSError as error:
+            self.log.warning("handover_unavailable", error=repr(error))
 
     # ---- as the predecessor ----
 
@@ -268,6 +295,7 @@
             self._has_offered = False
             self._owner.sibling_process(False)
         if connection.successor_serves:
+            self._restore_link()
             self._owner.replaced(False)  # the successor ended unexpectedly: this process serves again
 
     def close(self) -> None:
--- a/gaugesail/predecessor.py
+++ b/gaugesail/predecessor.py
@@ -111,6 +111,15 @@
         self._connect()
         return requested
 
+    @property
+    def searching(self) -> bool:
+        """Whether a process may be there that can still hand over."""
+        return self.present or self._requested is not None or self._late_takeover is not None
+
+    def keep_takeover(self, takeover: Takeover | None) -> None:
+        """Keep what was handed over for ``pop_takeover``."""
+        self._late_takeover = takeover
+
     def pop_takeover(self) -> Takeover | None:
         """Return what the predecessor has handed over since ``request_takeover`` had no result, once."""
         takeover, self._late_takeover = self._late_takeover, None
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
 
 from gaugesail.policy.events import EndpointList
 from gaugesail.policy.settings import Settings
@@ -134,8 +135,15 @@
         )
 
     def _open_clients_address(self, takeover: Takeover | None) -> Deferred[Any]:
-        late = self._handover.predecessor.pop_takeover
-        return retry_while_in_use(self.clock, self._log, lambda: self._open(takeover or late()))
+        return retry_while_in_use(self.clock, self._log, lambda: self._open_or_look(takeover))
+
+    def _open_or_look(self, takeover: Takeover | None) -> None:
+        """Open the clients' address; if it is in use, look again for a process that hands it over."""
+        try:
+            self._open(takeover or self._handover.predecessor.pop_takeover())
+        except CannotListenError:
+            self._handover.look_again()
+            raise
 
     def _open(self, takeover: Takeover | None) -> None:
         if self._stopping:  # SIGTERM arrived meanwhile: do not begin to accept
