Keep the name of a live successor when its link breaks, and reconnect at intervals

Cause: the end of a link was taken for the successor's death where its socket's name is concerned: the predecessor pointed the symlink back and removed the socket of a process that lives, so that a third one would not find it. And a process that accepts and closes at once, as an older version that is shutting down does, was asked again without a pause.

--- a/gaugesail/handover.py
+++ b/gaugesail/handover.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import socket
 from pathlib import Path
@@ -84,7 +85,7 @@
         self._socket_name = f"{self._base_name}.{os.urandom(6).hex()}.sock"
         self._folder_descriptor: int | None = None
         self._port: Any = None
-        self.predecessor = PredecessorLink(reactor, clock, log, owner)
+        self.predecessor = PredecessorLink(reactor, clock, log, owner, self._restore_link)
         self._asked_name = ""  # of the socket that was asked for a takeover
         self._connection: HandoverConnection | None = None  # to the successor
         self._offer_call: ports.DelayedCall | None = None  # for a successor that has sent no Hello
@@ -148,25 +149,25 @@
         """Listen on this process's own socket, and point the symlink that successors use to it."""
         factory = ConnectionFactory(self, False)
         self._port = self._reactor.listenUNIX(self._path(self._socket_name), factory, mode=0o600)
-        self._point_link(folder, not self.predecessor.present)
+        self._point_link(folder)
 
-    def _point_link(self, folder: Path, remove_previous: bool) -> None:
-        """Point the symlink to this process's own socket; the one before may be that of a killed process."""
+    def _point_link(self, folder: Path) -> None:
+        """Point the symlink to this process's own socket; remove the one before if its process was killed."""
         link = folder / self._link_name
         new_link = folder / f"{self._socket_name}.link"
         new_link.unlink(missing_ok=True)
         new_link.symlink_to(self._socket_name)
         previous = os.readlink(link) if link.is_symlink() else self._socket_name
         new_link.replace(link)
-        if remove_previous and previous != self._socket_name:
+        if previous != self._socket_name and is_abandoned(self._path(previous)):
             (folder / previous).unlink(missing_ok=True)
 
     def _restore_link(self) -> None:
-        """Point the symlink back to this process after its successor's end, for another successor."""
+        """Point the symlink back to this process, as another one has pointed it to itself."""
         if self._port is None or self._folder is None:
             return
         try:
-            self._point_link(self._folder, remove_previous=True)
+            self._point_link(self._folder)
         except OSError as error:
             self.log.warning("handover_unavailable", error=repr(error))
 
@@ -319,6 +320,13 @@
         self.log.warning("handover_socket_not_removed", error=repr(failure.value))
 
 
+def is_abandoned(path: str) -> bool:
+    """Whether the process that listened on a Unix socket has ended without removing it."""
+    with socket.socket(socket.AF_UNIX) as probe:
+        probe.setblocking(False)
+        return probe.connect_ex(path) == errno.ECONNREFUSED
+
+
 def adopt_port(reactor: Any, descriptor: int, factory: Any) -> Any:
     """Return the listening port of a descriptor that was handed over; it does not accept yet."""
     port = reactor.adoptStreamPort(descriptor, socket.AF_INET, factory)
--- a/gaugesail/predecessor.py
+++ b/gaugesail/predecessor.py
@@ -8,6 +8,7 @@
 
 import errno
 import os
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred, succeed
@@ -76,7 +77,15 @@
 class PredecessorLink:
     """The link to the predecessor; without one, ``present`` is False from the start."""
 
-    def __init__(self, reactor: Any, clock: Clock, log: Logger, owner: SuccessorProcess) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        log: Logger,
+        owner: SuccessorProcess,
+        on_repeated_takeover: Callable[[], None],
+    ) -> None:
+        self._on_repeated_takeover = on_repeated_takeover
         self._reactor = reactor
         self._clock = clock
         self.log = log
@@ -107,6 +116,7 @@
         self._address = address
         self._is_permanent = is_permanent
         self._requested = requested
+        self._has_reported = False
         self._timeout = self._clock.call_later(REPLY_TIMEOUT_US, lambda: self._no_takeover("silent"))
         self._connect()
         return requested
@@ -211,8 +221,6 @@
         self._owner.keys.wait()
         if self._serving and not self._is_permanent:
             self._predecessor_ended("its socket is unreachable")
-        elif self._owner.has_port or self._late_takeover is not None:
-            self._connect()
         else:
             self._no_takeover("connection closed")
             self._clock.call_later(RECONNECT_US, self._connect)
@@ -256,8 +264,9 @@
             os.close(takeover.descriptor)
         else:
             self._late_takeover = takeover
-        if self._serving:
+        if self._serving:  # the link was opened again: the predecessor took this process for dead
             connection.send(SuccessorServing())
+            self._on_repeated_takeover()
 
     def close(self) -> None:
         """Close the link, as this process ends."""
--- a/tests/process/test_operations.py
+++ b/tests/process/test_operations.py
@@ -93,6 +93,18 @@
     assert old.buffers.limit == old._max_buffers and len(reactor.ports[old._port.getHost()]) == 1
 
 
+def test_a_link_that_breaks_while_both_processes_run_is_opened_again(tmp_path: Path) -> None:
+    """Guards against two processes that each take the other for dead."""
+    old, new = play(REPLACED + "wait 0.1\nexpect c1 nothing", TMPDIR=str(tmp_path)).gateways
+    old._handover.successor.link.abortConnection()
+    new._reactor.run_until(lambda: False, 0.2)
+    assert old._handover.successor is not None
+    assert new.front.accepting and not old.front.accepting
+    assert new.engine.has_sibling and old.engine.has_sibling
+    link = tmp_path / new._handover._link_name
+    assert link.readlink().name == new._handover._socket_name
+
+
 def test_a_successor_that_dies_before_it_serves_changes_nothing(tmp_path: Path) -> None:
     world = play("client c1\nsend c1 get /_health\nexpect c1 200\nsend list mute", TMPDIR=str(tmp_path))
     old = world.gateway
