Take the ports of tests from free_ports, and drop what the handover left over

Cause: a read of the whole change. tests/support/ordered_writes.py had a copy of rehearsal/fleet/heads.py free_ports; two tests of shared keys had the same set-up; PredecessorLink.request_takeover had a branch for no address that nothing reaches; KeyCoordination took two calls to decide for a successor; a process probed the socket of a predecessor that it is linked to, so that each replacement opened a connection for nothing.

Change: each stands once or is gone; a linked predecessor's socket is not probed. Assertions, bounds and behaviour otherwise stay.

--- a/gaugesail/core/policy_runner.py
+++ b/gaugesail/core/policy_runner.py
@@ -61,7 +61,7 @@
 
     def run_with(self, event: Event) -> None:
         """Pass an event to the policy at once, with those that are pending."""
-        self._events.append(event)
+        self.add_without_run(event)
         self.run()
 
     def run(self) -> None:
--- a/gaugesail/handover.py
+++ b/gaugesail/handover.py
@@ -159,7 +159,8 @@
         new_link.symlink_to(self._socket_name)
         previous = os.readlink(link) if link.is_symlink() else self._socket_name
         new_link.replace(link)
-        if previous != self._socket_name and is_abandoned(self._path(previous)):
+        is_own = previous == self._socket_name
+        if not (is_own or self.predecessor.present) and is_abandoned(self._path(previous)):
             (folder / previous).unlink(missing_ok=True)
 
     def _restore_link(self) -> None:
@@ -252,10 +253,10 @@
     def _cancel_offer(self) -> bool:
         """Cancel a pending offer; returns whether there was one."""
         call, self._offer_call = self._offer_call, None
-        is_pending = call is not None and call.active()
-        if call is not None and is_pending:
-            call.cancel()
-        return is_pending
+        if call is None or not call.active():
+            return False
+        call.cancel()
+        return True
 
     def received(self, connection: HandoverConnection, message: HandoverMessage | None) -> None:
         """Handle a message; raises MalformedMessage if it does not fit the previous ones."""
@@ -276,8 +277,7 @@
     def _start_coordination(self, connection: HandoverConnection) -> None:
         connection.coordinates_keys = True
         connection.send(Hello())
-        self._owner.keys.decide()
-        self._owner.keys.connect(connection)
+        self._owner.keys.decide(successor=connection)
         if self._cancel_offer():
             self._offer(connection)
 
--- a/gaugesail/key_coordination.py
+++ b/gaugesail/key_coordination.py
@@ -31,14 +31,20 @@
 
     # ---- which process decides ----
 
-    def decide(self, attempts_unknown: bool = False, paused: KeysPaused | None = None) -> None:
-        """Decide the order in this process; a process that did so before has ended, or is the successor.
-
-        ``attempts_unknown`` pauses all keys, as that process has not reported what it had in flight.
+    def decide(
+        self,
+        attempts_unknown: bool = False,
+        paused: KeysPaused | None = None,
+        successor: HandoverConnection | None = None,
+    ) -> None:
+        """Decide the order in this process, and for the ``successor`` if there is one.
+
+        ``attempts_unknown`` pauses all keys, as a process that decided before, or sent requests beside this
+        one, has not reported what it had in flight.
         """
         keys = paused.paused_until_us if paused is not None else ()
         paused_keys = tuple((key, self._clock.from_machine_us(until_us)) for key, until_us in keys)
-        self._change(KeyAuthorityChanged(KeyAuthority.OWN, attempts_unknown, paused_keys))
+        self._change(KeyAuthorityChanged(KeyAuthority.OWN, attempts_unknown, paused_keys), successor)
 
     def ask(self, connection: HandoverConnection) -> None:
         """Ask the process at the other end for each ordered request."""
@@ -48,10 +54,6 @@
         """Send no ordered request, as another process may send some and cannot be asked."""
         self._change(KeyAuthorityChanged(KeyAuthority.UNAVAILABLE))
 
-    def connect(self, connection: HandoverConnection) -> None:
-        """Decide for the process at the other end too."""
-        self._connection = connection
-
     def _change(self, event: KeyAuthorityChanged, connection: HandoverConnection | None = None) -> None:
         self._connection = connection
         self._claims_sent = set()
--- a/gaugesail/policy/rate_limits.py
+++ b/gaugesail/policy/rate_limits.py
@@ -1,10 +1,10 @@
 """The rate limits of plans at one gateway: a token bucket for each volume under a limit.
 
 Where gateways may not exchange messages, each has an even share of a limit, which two processes of one
-gateway split.  Where the fleet divides a limit
-(docs/fleet-agreement.md), a bucket fills at the rate of the floor plus the leased allocation, and at that of
-the floor alone once the lease has ended.  A bucket starts empty, as an earlier process may have spent all of
-this gateway's units.  A bucket whose burst grows keeps its units; one whose burst shrinks loses the excess.
+gateway split.  Where the fleet divides a limit (docs/fleet-agreement.md), a bucket fills at the rate of the
+floor plus the leased allocation, and at that of the floor alone once the lease has ended.  A bucket starts
+empty, as an earlier process may have spent all of this gateway's units.  A bucket whose burst grows keeps its
+units; one whose burst shrinks loses the excess.
 """
 
 from __future__ import annotations
--- a/gaugesail/predecessor.py
+++ b/gaugesail/predecessor.py
@@ -11,10 +11,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import UNIXClientEndpoint
 from twisted.internet.error import ConnectError
-from twisted.python.failure import Failure
 
 from .core.ports import Clock, DelayedCall, Logger
 from .handover_connection import ConnectionFactory, HandoverConnection, Takeover
@@ -103,15 +102,13 @@
 
     # ---- the takeover ----
 
-    def request_takeover(self, address: str | None, is_permanent: bool = True) -> Deferred[Takeover | None]:
+    def request_takeover(self, address: str, is_permanent: bool) -> Deferred[Takeover | None]:
         """Request the listening socket of the process at this socket; the result is None if there is none.
 
         If a process is there but does not hand over, the search goes on: see ``pop_takeover``.
 
         :param is_permanent: whether the address stays that of the predecessor once this process listens.
         """
-        if address is None:
-            return succeed(None)
         requested: Deferred[Takeover | None] = Deferred()
         self._address = address
         self._is_permanent = is_permanent
@@ -170,10 +167,7 @@
         except OSError as error:
             self._cannot_connect(error)
             return
-        connecting.addErrback(lambda failure: self._connect_failed(failure))
-
-    def _connect_failed(self, failure: Failure) -> None:
-        self._cannot_connect(failure.value)
+        connecting.addErrback(lambda failure: self._cannot_connect(failure.value))
 
     def _cannot_connect(self, error: BaseException | None) -> None:
         if self._closed:
--- a/tests/policy/test_sibling_keys.py
+++ b/tests/policy/test_sibling_keys.py
@@ -327,14 +327,20 @@
     return [request.in_flight for request in two.requests.values()]
 
 
-def test_a_key_rests_in_both_processes_after_an_attempt_that_may_be_running() -> None:
-    """Guards against a release that does not tell the other process of the pause."""
+def granted_and_waiting() -> TwoProcesses:
+    """The successor's request has an attempt in flight; one of the predecessor waits for the same key."""
     two = TwoProcesses()
     two.send(True, 1)
     two.deliver(10)
     two.deliver(10)
     two.pass_time(1000)
     two.send(False, 1)
+    return two
+
+
+def test_a_key_rests_in_both_processes_after_an_attempt_that_may_be_running() -> None:
+    """Guards against a release that does not tell the other process of the pause."""
+    two = granted_and_waiting()
     assert states(two) == [True, False]
     two.end_attempt(0, AttemptResult.TIMEOUT)
     two.deliver(10)
@@ -346,12 +352,7 @@
 
 def test_an_attempt_in_flight_keeps_its_key_when_the_link_is_opened_again() -> None:
     """Guards against a second attempt beside one that the link's end left in flight."""
-    two = TwoProcesses()
-    two.send(True, 1)
-    two.deliver(10)
-    two.deliver(10)
-    two.pass_time(1000)
-    two.send(False, 1)
+    two = granted_and_waiting()
     two.disconnect(0)  # its attempt goes on
     two.cut_link(1000)
     two.pass_time(PAUSE_US * 2)
--- a/tests/support/ordered_writes.py
+++ b/tests/support/ordered_writes.py
@@ -19,10 +19,10 @@
 from typing import Any
 
 from gaugesail.rehearsal import defaults
+from gaugesail.rehearsal.fleet.heads import free_ports
 
 from .faulty_process import HOST, READY_S, ROOT, HangingNode, ListService, wait_until
 
-FIXED_PORTS = 10_000, 32_000  # below those of outgoing connections
 SERVICE_S = 0.06  # of one write at the node
 KEY_QUIET_S = 0.3
 TIMEOUT_S = 3.0  # of a write
@@ -44,14 +44,6 @@
     executed: float = 0.0
 
 
-def free_port() -> int:
-    """Return a free port that the system gives to no outgoing connection."""
-    while True:
-        port = random.SystemRandom().randrange(*FIXED_PORTS)
-        with suppress(OSError), socket.create_server((HOST, port)):
-            return port
-
-
 class SlowNode(HangingNode):
     """A node that executes each write in SERVICE_S, all of those that have arrived at once."""
 
@@ -156,7 +148,7 @@
     _going: bool = True
 
     def __post_init__(self) -> None:
-        self.port = free_port()
+        (self.port,) = free_ports(1)
         self.node = SlowNode(self.writes)
         self.discovery = ListService([self.node])
         settings = defaults.settings()
