Log the steps of a shutdown, and the requests that it answers unserved

Change: stopping tells when answers are due; signal_repeated, stopped_accepting, closing_idle_clients, answers_due and stopped tell after_ms, open, out and clients; unserved_at_shutdown names each request with its steps; the counters unserved_at_shutdown and rejected_at_shutdown; the successor logs predecessor_ended_without_report.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -203,7 +203,7 @@
             self._clock.call_later(0, lambda: reply.fail(FailureReason.ID_IN_USE))
             return False
         if len(self._open) >= self._max_open or self.closing:
-            self.counts["rejected_at_limit"] += 1
+            self.counts["rejected_at_shutdown" if self.closing else "rejected_at_limit"] += 1
             why = "ending" if self.closing else "too many open"
             self._activity.note(request.client_request_id, Step.NOT_ADMITTED, why)
             self._clock.call_later(0, lambda: reply.reject(request.settings.longest_retry_after_us))
@@ -302,7 +302,11 @@
     def fail_all(self) -> None:
         """Fail all open requests and reject new ones, as the process is about to be killed."""
         self.closing = True
-        for request_id in list(self._open):
+        for request_id, entry in list(self._open.items()):
+            name = entry.request.client_request_id
+            steps = "; ".join(map(str, self.trace.steps_of(name)))
+            self._log.info("unserved_at_shutdown", request=name, attempts=entry.attempts, steps=steps)
+            self.counts["unserved_at_shutdown"] += 1
             self._fail_overdue(request_id)
 
     # ---- the policy's actions ----
--- a/gaugesail/predecessor.py
+++ b/gaugesail/predecessor.py
@@ -197,6 +197,7 @@
         """The predecessor has ended: without its last report, its attempts may be running on any key."""
         self._owner.keys.decide(attempts_unknown=True)
         if self.present:
+            self.log.warning("predecessor_ended_without_report", why=why)
             self.present = False
             self._owner.sibling_process(False)
         self._no_takeover(why)
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -311,17 +311,37 @@
 
     def stop(self) -> Deferred[None]:
         """Shut down gracefully: stop accepting, close idle connections, and answer all open requests."""
-        if not self._stopping:
+        if self._stopping:
+            self._log_shutdown_step("signal_repeated")
+        else:
             self._stopping = True
             self._stopping_since_us = self.clock.now_us()
             self.operations.stopping = True
-            self._log.info("stopping", open=self.engine.open_requests, clients=self.front.connections)
+            answers_due_us = self.longest_deadline_us() + FAIL_REMAINING_AFTER_US
+            self._log.info(
+                "stopping",
+                open=self.engine.open_requests,
+                clients=self.front.connections,
+                replaced=self._replaced,
+                answers_due_ms=answers_due_us // 1000,
+            )
             self.clock.call_later(STOP_ACCEPTING_AFTER_US, self._stop_accepting)
             self.clock.call_later(CLOSE_IDLE_AFTER_US, self._close_idle)
-            self.clock.call_later(self.longest_deadline_us() + FAIL_REMAINING_AFTER_US, self._fail_remaining)
+            self.clock.call_later(answers_due_us, self._fail_remaining)
         return self.stopped
 
+    def _log_shutdown_step(self, event: str) -> None:
+        """Log a step of the shutdown, and what is open at it."""
+        self._log.info(
+            event,
+            after_ms=(self.clock.now_us() - self._stopping_since_us) // 1000,
+            open=self.engine.open_requests,
+            out=self.engine.attempts_in_flight,
+            clients=self.front.connections,
+        )
+
     def _fail_remaining(self) -> None:
+        self._log_shutdown_step("answers_due")
         self.front.end()
         self.engine.fail_all()
         self.clock.call_later(READ_ANSWERS_US, self._finish_when_read)
@@ -363,6 +383,7 @@
         self.front.listening = self.front.accepting = False
         self._port.stopListening()
         self._port = None
+        self._log_shutdown_step("stopped_accepting")
 
     def _close_idle(self) -> None:
         # Clients of a replaced process can migrate gradually: a request that a client sends while the gateway
@@ -371,6 +392,7 @@
             self.clock.call_later(SWEEP_INTERVAL_US, self._close_idle)
             if self.front.connections:
                 return
+        self._log_shutdown_step("closing_idle_clients")
         self.front.close_idle()
         if self.fleet is not None:
             self.fleet.leave()
@@ -395,7 +417,7 @@
                 close()
             except Exception as error:  # all requests are answered: no fault may prevent the end
                 self._log.error("close_raised", error=repr(error))
-        self._log.info("stopped", open=self.engine.open_requests)
+        self._log_shutdown_step("stopped")
         self.stopped.callback(None)
 
     def _sweep(self) -> None:
