--- a/tests/support/faulty_process.py
+++ b/tests/support/faulty_process.py
@@ -116,6 +116,43 @@
         super().close()
 
 
+def read_head(stream: Any) -> dict[str, str] | None:
+    """Read the head of a message: its fields in lower case, its first line as ""; None at the end."""
+    lines: list[str] = []
+    while line := stream.readline():
+        if line == b"\r\n":
+            fields = dict(text.lower().split(": ", 1) for text in lines[1:])
+            return fields | {"": lines[0]}
+        lines.append(line.decode().rstrip())
+    return None
+
+
+class ThreadedNode(HangingNode):
+    """A node with a thread for each connection, which answers each request after ``work``."""
+
+    def __init__(self, shard: int) -> None:
+        super().__init__(shard)
+        self.listener.setblocking(True)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def work(self, name: str) -> None:
+        """Do the work of the request with this id; returns when it is done."""
+
+    def _accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                accepted = self.listener.accept()[0]
+                self._accepted.append(accepted)
+                threading.Thread(target=self._serve, args=(accepted,), daemon=True).start()
+
+    def _serve(self, accepted: socket.socket) -> None:
+        with suppress(OSError), accepted.makefile("rb") as stream:
+            while (head := read_head(stream)) is not None:
+                stream.read(int(head.get("content-length", "0")))
+                self.work(head["request-id"])
+                accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
 class ListService:
     """Discovery: each watch gets the complete list, changes, and an empty line every HEARTBEAT_S."""
 
--- a/tests/support/ordered_writes.py
+++ b/tests/support/ordered_writes.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-import json
-import os
 import random
-import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -18,10 +13,8 @@
 from pathlib import Path
 from typing import Any
 
-from gaugesail.rehearsal import defaults
-from gaugesail.rehearsal.fleet.heads import free_ports
-
-from .faulty_process import HOST, READY_S, ROOT, HangingNode, ListService, wait_until
+from .faulty_process import HOST, ListService, ThreadedNode, read_head
+from .gateway_processes import GatewayProcesses
 
 SERVICE_S = 0.06  # of one write at the node
 KEY_QUIET_S = 0.3
@@ -44,42 +37,18 @@
     executed: float = 0.0
 
 
-class SlowNode(HangingNode):
+class SlowNode(ThreadedNode):
     """A node that executes each write in SERVICE_S, all of those that have arrived at once."""
 
     def __init__(self, writes: dict[str, Write]) -> None:
-        super().__init__(0)
         self._writes = writes
-        self.listener.setblocking(True)
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with suppress(OSError):
-            while True:
-                accepted = self.listener.accept()[0]
-                self._accepted.append(accepted)
-                threading.Thread(target=self._serve, args=(accepted,), daemon=True).start()
-
-    def _serve(self, accepted: socket.socket) -> None:
-        with suppress(OSError), accepted.makefile("rb") as stream:
-            while (head := read_head(stream)) is not None:
-                stream.read(int(head.get("content-length", "0")))
-                write = self._writes[head["request-id"]]
-                write.reached = time.monotonic()
-                time.sleep(SERVICE_S)
-                write.executed = time.monotonic()
-                accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-
-
-def read_head(stream: Any) -> dict[str, str] | None:
-    """Read the head of a message: its fields in lower case, its first line as ""; None at the end."""
-    lines: list[str] = []
-    while line := stream.readline():
-        if line == b"\r\n":
-            fields = dict(text.lower().split(": ", 1) for text in lines[1:])
-            return fields | {"": lines[0]}
-        lines.append(line.decode().rstrip())
-    return None
+        super().__init__(0)
+
+    def work(self, name: str) -> None:
+        write = self._writes[name]
+        write.reached = time.monotonic()
+        time.sleep(SERVICE_S)
+        write.executed = time.monotonic()
 
 
 @dataclass(eq=False)
@@ -141,46 +110,24 @@
     """The processes, the node and the clients of one test."""
 
     folder: Path
-    command: tuple[str, ...] = (sys.executable, "-m", "gaugesail")
     writes: dict[str, Write] = field(default_factory=dict)
-    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
     _threads: list[threading.Thread] = field(default_factory=list)
     _going: bool = True
 
     def __post_init__(self) -> None:
-        (self.port,) = free_ports(1)
         self.node = SlowNode(self.writes)
         self.discovery = ListService([self.node])
-        settings = defaults.settings()
-        defaults.change(settings, "categories.1.keep_order", "true")
-        defaults.change(settings, "guarantees.key_quiet_us", str(int(KEY_QUIET_S * 1e6)))
-        config: dict[str, Any] = {
-            "name": "n", "listen": f"{HOST}:{self.port}", "discovery": self.discovery.address, "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": self.discovery.endpoint_list(), "settings": settings,
-        }  # fmt: skip
-        (self.folder / "config").write_text(json.dumps(config))
-
-    def start(self, command: tuple[str, ...] | None = None, cwd: Path = ROOT) -> subprocess.Popen[bytes]:
-        """Start a process; returns at once."""
-        environ = os.environ | {"BALANCER_CONFIG": str(self.folder / "config"), "TMPDIR": str(self.folder)}
-        with self.log(len(self.processes)).open("wb") as log:
-            process = subprocess.Popen(command or self.command, cwd=cwd, env=environ, stderr=log)
-        self.processes.append(process)
-        return process
-
-    def log(self, number: int) -> Path:
-        return self.folder / f"log{number}"
-
-    def await_serving(self, number: int) -> None:
-        """Wait until a process serves."""
-        log = self.log(number)
-        assert wait_until(lambda: "event=listening" in log.read_text(), READY_S), log.read_text()
-
-    def start_and_await(self) -> subprocess.Popen[bytes]:
-        process = self.start()
-        self.await_serving(len(self.processes) - 1)
-        return process
+        changes = {
+            "categories__1__keep_order": "true",
+            "guarantees__key_quiet_us": str(int(KEY_QUIET_S * 1e6)),
+        }
+        self.gateway = GatewayProcesses(self.folder, self.discovery, changes)
+        self.port = self.gateway.port
+        self.processes = self.gateway.started
+        self.start = self.gateway.start
+        self.log = self.gateway.log
+        self.await_serving = self.gateway.await_serving
+        self.start_and_await = self.gateway.start_and_await
 
     def add_clients(self, count: int, items: int = 2) -> None:
         for _ in range(count):
@@ -201,11 +148,7 @@
 
     def close(self) -> None:
         self._going = False
-        for process in self.processes:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-            process.wait()
+        self.gateway.close()
         self.discovery.close()
         self.node.close()
 
