Give requests of a process that is to end no more time than it has

What callers saw: a process that is to end forwarded what it read up to its last moment, told the node the client's whole time (4,992 ms where 700 ms were left to the earliest kill), and answered it 504 at its end instead of a refusal at once, or a 503 that lets the client try again at the successor. Cause: neither the decisions nor the engine knew that the process ends. Change: the event ShutdownStarted limits the objectives of open and later requests; the engine limits the deadlines of requests and attempts. What can't be served by then is refused as soon as it is read or the queue check sees it; attempts in flight end 4 ms before, and are answered as their class allows.

--- a/gaugesail/core/attempts.py
+++ b/gaugesail/core/attempts.py
@@ -122,6 +122,12 @@
         if not (attempt.ended or attempt.answer_started):
             self.abort(attempt, AttemptResult.TIMEOUT)
 
+    def shorten(self, attempt: Attempt, deadline_us: int) -> None:
+        """End an attempt by ``deadline_us``, if that is earlier than its deadline."""
+        if deadline_us < attempt.deadline_us:
+            attempt.deadline_us = deadline_us
+            self.deadlines.add(deadline_us, AttemptDeadline(attempt))
+
     def abort(self, attempt: Attempt, result: AttemptResult) -> None:
         """End an attempt; its connection is aborted before anything else may be sent.
 
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -32,6 +32,7 @@
     QuotaChanged,
     RequestReceived,
     SettingsChanged,
+    ShutdownStarted,
     SiblingProcessChanged,
     TimerFired,
 )
@@ -112,6 +113,7 @@
             self.client_disconnected,
         )
         self._next_request_id = 1
+        self._answers_due_us: int | None = None  # when the process is to end
 
     @property
     def counts(self) -> Counter[str]:
@@ -171,7 +173,7 @@
         if not self._admit(request, reply):
             return 0
         deadline_us = received_at_us + request.timeout_us
-        self._table.add(OpenRequest(request_id, request, reply, deadline_us))
+        self._table.add(OpenRequest(request_id, request, reply, self._limit_deadline(deadline_us)))
         self.counts["taken"] += 1
         self._activity.note(request.client_request_id, Step.RECEIVED, f"{request.timeout_us // 1000} ms")
         self._deadlines.add(deadline_us - ANSWER_MARGIN_US, RequestDeadline(request_id))
@@ -299,6 +301,18 @@
         self._transport.set_maintenance(node_id, on)
         self.policy.run_with(MaintenanceChanged(node_id, on))
 
+    def limit_answers(self, at_us: int) -> None:
+        """Serve requests by ``at_us``, in microseconds, or not at all, as the process is to end then."""
+        self._answers_due_us = at_us
+        for entry in self._open.values():
+            entry.deadline_us = self._limit_deadline(entry.deadline_us)
+            if entry.in_flight is not None:
+                self.attempts.shorten(entry.in_flight, entry.deadline_us - ANSWER_MARGIN_US)
+        self.policy.run_with(ShutdownStarted(at_us))
+
+    def _limit_deadline(self, deadline_us: int) -> int:
+        return deadline_us if self._answers_due_us is None else min(deadline_us, self._answers_due_us)
+
     def fail_all(self) -> None:
         """Fail all open requests and reject new ones, as the process is about to be killed."""
         self.closing = True
--- a/gaugesail/core/request_table.py
+++ b/gaugesail/core/request_table.py
@@ -16,7 +16,7 @@
     request_id: int
     request: ClientRequest
     reply: Reply
-    deadline_us: int  # when the client's timeout ends
+    deadline_us: int  # when the client's timeout ends, or earlier, when this process does
     attempts: int = 0  # so far, counted against the limit
     in_flight: Attempt | None = None
     latest_result: AttemptResult | None = None  # of its latest ended attempt
--- a/gaugesail/policy/admission.py
+++ b/gaugesail/policy/admission.py
@@ -100,9 +100,20 @@
         first_received_at = self._recovery.first_received_at(received_at, event, position, earliest)
         return min(
             first_received_at + request_class.latency_objective_us,
-            event.deadline_us - OBJECTIVE_MARGIN_TICKS * self._state.tick_us,
+            self._latest_objective(event.deadline_us),
         )
 
+    def _latest_objective(self, deadline_us: int) -> int:
+        """Return the latest objective of a request: before its client gives up or this process is to end."""
+        margin_us = OBJECTIVE_MARGIN_TICKS * self._state.tick_us
+        return int(min(deadline_us, self._state.answers_due)) - margin_us
+
+    def limit_objectives(self, answers_due_us: int) -> None:
+        """Serve all open and later requests by ``answers_due_us``, in microseconds, or not at all."""
+        self._state.answers_due = answers_due_us
+        for request in self._queue.pending.values():
+            request.objective_at = min(request.objective_at, self._latest_objective(request.deadline_at))
+
     def _may_wait(self, request: PendingRequest) -> bool:
         """Return whether a request may wait; otherwise it is sent in this batch or rejected at its end."""
         if self._recovery.unavailable_for_long(self._state.now, request.shard):
--- a/gaugesail/policy/events.py
+++ b/gaugesail/policy/events.py
@@ -161,6 +161,13 @@
     is_predecessor: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class ShutdownStarted:
+    """This process is to end: requests without an answer by ``answers_due_us`` are failed by the caller."""
+
+    answers_due_us: int
+
+
 @dataclass(slots=True, frozen=True)
 class SettingsChanged:
     """New settings apply from now on; open requests keep those in force when they were received."""
@@ -235,6 +242,7 @@
     | QuotaChanged
     | MaintenanceChanged
     | SiblingProcessChanged
+    | ShutdownStarted
     | EndpointList
     | RequestReceived
     | AnswerStarted
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -29,6 +29,7 @@
     QuotaChanged,
     RequestReceived,
     SettingsChanged,
+    ShutdownStarted,
     SiblingProcessChanged,
     TimerFired,
 )
@@ -168,6 +169,8 @@
                 self._change_sibling(event)
             case SettingsChanged():
                 self._update_settings(event.settings)
+            case ShutdownStarted():
+                self._admission.limit_objectives(event.answers_due_us)
             case QuotaChanged():
                 self.rate_limits.update_quota(self.state.now, event)
             case _:
--- a/gaugesail/policy/gateway_state.py
+++ b/gaugesail/policy/gateway_state.py
@@ -30,6 +30,7 @@
         # When the second process ended, in microseconds; infinite while it is present.
         self.sibling_until = float("-inf")
         self.predecessor_shares_since = float("-inf")  # until then it used all limits and budgets alone
+        self.answers_due = float("inf")  # when this process is to end, in microseconds
         self.actions: list[Action] = []
         self.changed_shards: dict[int, ShardRecord] = {}  # to dispatch at the end of the batch
         self.class_positions: dict[str, int] = {}
--- a/gaugesail/shutdown.py
+++ b/gaugesail/shutdown.py
@@ -123,6 +123,7 @@
             if call.active():
                 call.cancel()
         steps = self._steps
+        self._process.engine.limit_answers(self._since_us + steps.answers_due_us)
         self._process.front.migration.end_by(self._since_us + steps.migrated_us)
         self._calls = [
             self._clock.call_later(self._since_us + at_us - self._clock.now_us(), call)
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -325,3 +325,52 @@
         rig.pass_time(0.2)
         client.rst()
         assert_stops(rig, 1.5)
+
+
+def send_behind_a_slow_request(rig: GatewayRig, after: float) -> PeerSocket:
+    """Send a request whose answer comes ``after`` seconds after the signal, and the next one behind it."""
+    client = rig.client()
+    client.send(rig.request("a", "write", body=b"body"))
+    rig.nodes[0].wait_for("a")
+    rig.gateway.stop()
+    rig.pass_time(after)
+    client.send(rig.request("b", "write", body=b"body"))
+    rig.turn(2)
+    rig.nodes[0].answer("a")
+    client.read_until(b"\r\n\r\nok")
+    return client
+
+
+def test_a_node_is_told_the_time_that_is_left_to_the_process() -> None:
+    """Guards against attempts that are given their client's whole time by a process that is to end."""
+    with gateway_rig(settings__categories__1__effect="fragile") as rig:
+        after = 3.0
+        client = send_behind_a_slow_request(rig, after)
+        node = rig.nodes[0].wait_for("b")
+        told_ms = int(node.text.partition(b"Request-Timeout-Ms: ")[2].split()[0])
+        assert told_ms < (KILL_S - after) * 1000
+        assert b"HTTP/1.1 500" in client.read_until(b"\r\n\r\n")
+        assert_stops(rig, KILL_S - after)
+
+
+def test_a_repeatable_request_without_time_is_refused_so_that_its_client_tries_again() -> None:
+    with gateway_rig(settings__categories__1__aim_us="4000000") as rig:
+        client = rig.client()
+        client.send(rig.request("a", "write", body=b"body"))
+        rig.nodes[0].wait_for("a")
+        rig.gateway.stop()
+        rig.pass_time(3.3)
+        assert not client.read()
+        assert b"HTTP/1.1 503" in client.read_until(b"\r\n\r\n")
+        assert rig.nodes[0].connections[-1].closed()
+        assert_stops(rig, KILL_S - 3.3)
+
+
+def test_a_request_that_the_process_has_no_time_to_serve_is_refused_at_once() -> None:
+    with gateway_rig(settings__categories__1__effect="fragile") as rig:
+        client = send_behind_a_slow_request(rig, 3.43)
+        began = rig.now
+        assert b"HTTP/1.1 503" in client.read_until(b"\r\n\r\n")
+        assert rig.now - began < 0.01
+        assert not rig.nodes[0].received("b")
+        assert_stops(rig, KILL_S - 3.4)
