Read nothing more from the moment in which a process ends

A request that arrives between the last answer and the exit is read and lost. Cause: the process read its connections up to the reactor's end, 100 ms or one pass after its last look at what is open. Change: at the end of a shutdown the client servers stop reading; the process ends once all that was read is answered, at the latest 50 ms before the kill. What was never sent to a node is rejected (503, may be tried again) there, not failed. Result: test_nothing_is_read_from_the_moment_in_which_the_process_ends fails before (the request is read after the end) and passes; of 20 requests behind one another one got 504 before, now all 503.

--- a/gaugesail/client_admission.py
+++ b/gaugesail/client_admission.py
@@ -131,9 +131,18 @@
         if self.accepting:
             (self.port.stopReading if on else self.port.startReading)()
 
+    @property
+    def has_unanswered(self) -> bool:
+        """Whether anything that was read has no answer yet."""
+        raise NotImplementedError
+
     def end(self) -> None:
         """Reject requests that are still being received, as the process is about to be killed."""
 
+    def stop_reading(self) -> None:
+        """Read nothing more: a client can send again what was not read, but not what was."""
+        raise NotImplementedError
+
     def supersede(self, on: bool) -> None:
         """Leave accepting to the successor, or, with ``on`` False, resume it as the successor has ended."""
         self.accept(not on)
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -314,14 +314,21 @@
         return deadline_us if self._answers_due_us is None else min(deadline_us, self._answers_due_us)
 
     def fail_all(self) -> None:
-        """Fail all open requests and reject new ones, as the process is about to be killed."""
+        """Fail all open requests and reject new ones, as the process is about to be killed.
+
+        Requests that were never sent to a node are rejected, as their clients may try again.
+        """
         self.closing = True
         for request_id, entry in list(self._open.items()):
             name = entry.request.client_request_id
             steps = "; ".join(map(str, self.trace.steps_of(name)))
             self._log.info("unserved_at_shutdown", request=name, attempts=entry.attempts, steps=steps)
             self.counts["unserved_at_shutdown"] += 1
-            self._fail_overdue(request_id)
+            if entry.attempts:
+                self._answers.fail(request_id, FailureReason.OUT_OF_TIME)
+            else:
+                self._answers.reject(request_id, entry.request.settings.longest_retry_after_us)
+            self.policy.add(ClientDisconnected(request_id))
 
     # ---- the policy's actions ----
 
@@ -360,7 +367,7 @@
                 self.keys.carry_out(action)
 
     def _fail_overdue(self, request_id: int) -> None:
-        """Fail a request that is still open at its deadline, or when the process is about to be killed."""
+        """Fail a request that is still open at its deadline."""
         self.counts["overdue"] += 1
         self._answers.fail(request_id, FailureReason.OUT_OF_TIME)
         self.policy.add(ClientDisconnected(request_id))
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -66,6 +66,13 @@
         """Whether an answer is pending, for which the next request has to wait."""
         return self._request_id is not None
 
+    @property
+    def has_unanswered(self) -> bool:
+        """Whether a request, or a part of one, was read and has no answer yet."""
+        if self.closing or self.lost or self.stream is not None:
+            return False
+        return self._request_id is not None or self.input.parser.buffered > 0
+
     @property
     def disconnected(self) -> bool:
         """Return whether the client has disconnected; if polling shows that, abort the connection.
@@ -378,6 +385,11 @@
 
     # ---- closing ----
 
+    def stop_reading(self) -> None:
+        """Read nothing more; input that is not read makes the close a reset, after which a client retries."""
+        if not self.lost:
+            self.link.pauseProducing()
+
     def close(
         self, reason: CloseReason = CloseReason.IDLE, linger: bool = False, at_once: bool = False
     ) -> None:
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -195,6 +195,16 @@
         for connection in list(self._open):
             connection.reject_incomplete()
 
+    @property
+    def has_unanswered(self) -> bool:
+        """Whether anything that was read has no answer yet; a streamed answer has begun."""
+        return any(connection.has_unanswered for connection in self._open)
+
+    def stop_reading(self) -> None:
+        """Read nothing more."""
+        for connection in self._open:
+            connection.stop_reading()
+
     def supersede(self, on: bool) -> None:
         """Let the next process accept in place of this one, or accept again if that process has ended."""
         super().supersede(on)
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -704,6 +704,16 @@
         if self.closing and not self._open:
             self.on_idle()
 
+    @property
+    def has_unanswered(self) -> bool:
+        """Whether any command has no status yet."""
+        return any(not session.idle for session in self._open)
+
+    def stop_reading(self) -> None:
+        """Read nothing more."""
+        for session in self._open:
+            session.link.pauseProducing()
+
     def sweep(self) -> None:
         """Enforce the time limits of all connections; while closing, close those that are idle."""
         now = self.clock.now_us()
--- a/gaugesail/shutdown.py
+++ b/gaugesail/shutdown.py
@@ -175,17 +175,18 @@
         self._process.front.close_idle()
 
     def _end(self) -> None:
-        """End as soon as no answer is streamed and nothing is handed over, at the latest at ``last_us``.
+        """End as soon as all that was read is answered or handed over, at the latest at ``last_us``.
 
-        Other connections may still be open, for example of a client that sends more after its answer; what it
-        sends is not served.
+        Other connections may still be open, for example of a client that sends more after its answer.
         """
         if self._ended:
             return
         process = self._process
+        process.front.stop_reading()
         if process.has_streams and process.replaced:
             process.hand_over_answers()
-        finished = process.finish_handover() and not process.has_streams
+        handed_over = process.finish_handover()
+        finished = handed_over and not (process.has_streams or process.front.has_unanswered)
         if not finished and self._after_us < self._steps.last_us:
             self._clock.call_later(END_POLL_US, self._end)
             return
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -374,3 +374,36 @@
         assert rig.now - began < 0.01
         assert not rig.nodes[0].received("b")
         assert_stops(rig, KILL_S - 3.4)
+
+
+def test_nothing_is_read_from_the_moment_in_which_the_process_ends() -> None:
+    """Guards against a request that is read between the last answer and the exit."""
+    with gateway_rig(settings__categories__1__effect="fragile") as rig:
+        client, text = rig.client(), rig.request("b")
+        client.send(rig.request("a", "write", body=b"body"))
+        rig.nodes[0].wait_for("a")
+        rig.gateway.stop()
+        rig.pass_time(3.2)
+        client.send(text[:20])
+        rig.turn(2)
+        rig.nodes[0].answer("a")
+        client.read_until(b"\r\n\r\nok")
+        rig.pass_time(KILL_S - 3.2 - 0.1 - 0.01)
+        client.send(text[20:])
+        rig.leap(0.02)
+        assert rig.until(lambda: bool(rig.stopped), 0.1)
+        rig.turn(3)
+        assert not rig.gateway.engine.counts["rejected_at_shutdown"] and not client.read()
+
+
+def test_requests_behind_one_another_at_the_end_each_have_an_answer() -> None:
+    with gateway_rig(settings__categories__1__effect="fragile") as rig:
+        client = rig.client()
+        client.send(rig.request("a", "write", body=b"body"))
+        rig.nodes[0].wait_for("a")
+        rig.gateway.stop()
+        rig.pass_time(KILL_S - 0.26)
+        for number in range(20):
+            client.send(rig.request(f"b{number}"))
+        assert_stops(rig, 0.26)
+        assert client.read().count(b"HTTP/1.1 503") == 20
