Answer iSCSI writes whose data is still coming before a SIGKILL

An initiator whose write waits for its Data-Out as the process ends gets no status: its session ends. Cause: TargetFront.end did nothing, where the HTTP front rejects what is still being received; and a session was closed over commands that were not read yet. Change: at the end such writes get BUSY, later commands get it at once, and a session with unread input is not closed as idle.

--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -420,6 +420,9 @@
         if task.write and task.expected < task.length:
             self.check_condition(task, ILLEGAL_REQUEST, INVALID_CDB_FIELD)
             return
+        if self._front.engine.closing:  # its data would come too late
+            self.end(task, Status.BUSY)
+            return
         kind = self._front.operator.write_class if task.write else self._front.operator.read_class
         task.deadline_us = task.received_at_us + self._front.settings.classes[kind].deadline_us
         task.body = Body(self._front.pool)
@@ -514,6 +517,12 @@
             if task.request_id:
                 self._front.engine.client_disconnected(task.request_id)
 
+    def reject_incomplete(self) -> None:
+        """End the writes whose data is still being received, as the process is about to end."""
+        for task in list(self._tasks.values()):
+            if task.r2t_end:
+                self.end(task, Status.BUSY)
+
     def check_condition(self, task: Task, key: int, code: tuple[int, int]) -> None:
         """End a task with status CHECK CONDITION and this sense key, code and qualifier."""
         self.end(task, Status.CHECK, sense(key, *code))
@@ -660,8 +669,8 @@
             self.hold(False)
 
     def closable(self) -> list[TargetConnection]:
-        """Return the sessions without a command in flight."""
-        return [session for session in self._open if session.idle]
+        """Return the sessions without a command in flight, or in the kernel."""
+        return [session for session in self._open if session.idle and not unread(session.link)]
 
     @property
     def free_places(self) -> int:
@@ -724,14 +733,21 @@
             if over > 0 and connection.is_login_late(now):
                 connection.close()
                 over -= 1
-            if self.closing and connection.idle:
-                connection.close()
+        if self.closing:
+            self._close_idle()
+
+    def end(self) -> None:
+        """End the commands that are still being received, as the process is about to end."""
+        for connection in list(self._open):
+            connection.reject_incomplete()
 
     def close_idle(self) -> None:
         """Close idle connections now, and the others when they become idle."""
         self.closing = True
-        for connection in list(self._open):
-            if connection.idle:
-                connection.close()
+        self._close_idle()
         if not self._open:
             self.on_idle()
+
+    def _close_idle(self) -> None:
+        for connection in self.closable():
+            connection.close()
