Reset the connection of an answer that a process cannot complete before its kill

An answer without a length to a client of HTTP/1.0, cut by the end of the process, ended in order and passed for a whole one. Cause: streamed answers went on until the SIGKILL or the exit, and the system then ends their connections with a FIN.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -105,6 +105,12 @@
         """Whether any answer is being streamed to its client."""
         return bool(self.front.streams)
 
+    def abort_streams(self) -> None:
+        """Reset the connections of answers that cannot be completed, so that their clients can tell."""
+        for client in self.front.streams:
+            self.engine.counts["stream_aborted_at_shutdown"] += 1
+            client.link.abortConnection()
+
     def hand_over_answers(self) -> None:
         """Hand streamed answers over to the successor, each once its client's write buffer is empty."""
         for client in self.front.streams:
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -319,6 +319,9 @@
         """Whether any answer is being streamed to its client."""
         return False
 
+    def abort_streams(self) -> None:
+        """Reset the connections of answers that cannot be completed, so that their clients can tell."""
+
     def close_port(self, at_once: bool) -> bool:
         """Stop accepting; returns False if connections wait in the kernel for a place, unless ``at_once``.
 
--- a/gaugesail/shutdown.py
+++ b/gaugesail/shutdown.py
@@ -45,6 +45,10 @@
         """Hand streamed answers over to the successor."""
         ...
 
+    def abort_streams(self) -> None:
+        """Reset the connections of answers that cannot be completed, so that their clients can tell."""
+        ...
+
     def finish_handover(self) -> bool:
         """Send the successor the last reports; returns whether it has received all that is handed over."""
         ...
@@ -190,6 +194,7 @@
         if not finished and self._after_us < self._steps.last_us:
             self._clock.call_later(END_POLL_US, self._end)
             return
+        process.abort_streams()
         self._ended = True
         self._log_step("stopped")
         process.close()
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -407,3 +407,20 @@
             client.send(rig.request(f"b{number}"))
         assert_stops(rig, 0.26)
         assert client.read().count(b"HTTP/1.1 503") == 20
+
+
+@pytest.mark.parametrize("read", [True, False])
+def test_an_answer_without_a_length_that_is_cut_by_the_end_is_reset(read: bool) -> None:
+    """Guards against an end that passes for that of a whole answer."""
+    with gateway_rig() as rig:
+        client = rig.client()
+        client.send(rig.request("a").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        node = rig.nodes[0].wait_for("a")
+        node.send(b"HTTP/1.0 200 OK\r\n\r\n" + b"h" * 100_000)
+        assert rig.until(lambda: b"200 OK" in client.read())
+        rig.gateway.stop()
+        if read:
+            assert rig.until(lambda: client.read().count(b"h") >= 100_000)
+        assert_stops(rig)
+        rig.turn(3)
+        assert client.closed() and client.was_reset
