--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -15,7 +15,7 @@
 from ..service import Service
 from .initiator import NodePool
 from .operator import OperatorConfig, OperatorError
-from .target import TargetFront
+from .target_server import TargetFront
 
 MAX_SESSIONS = 64  # of clients; each may hold a command window of transfers in memory
 RELOADABLE = {"nodes", "settings", "read_class", "write_class", "units"}  # fields of OperatorConfig
--- a/tests/rehearsal/test_scenarios.py
+++ b/tests/rehearsal/test_scenarios.py
@@ -8,7 +8,7 @@
 
 from gaugesail.http.client_sweep import sweep
 from gaugesail.http.request_reader import RequestReader
-from gaugesail.iscsi.target import TargetFront
+from gaugesail.iscsi.target_server import TargetFront
 from gaugesail.listening import ListeningPort
 from gaugesail.rehearsal.peers import INVALID_REQUESTS, IRREGULAR_ANSWERS, ScenarioError
 from gaugesail.rehearsal.scenario import ScenarioFailed, split
