Test reloads around SIGTERM: the shorter of both longest deadlines times the end

Cause: the walk over signals in series; the rule was made with the schedule, untested. Change: five cases of a reload 1.0 s before to 0.3 s after SIGTERM, to shorter and to longer deadlines.

--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -424,3 +424,48 @@
         assert_stops(rig)
         rig.turn(3)
         assert client.closed() and client.was_reset
+
+
+def reload_with_deadline(rig: GatewayRig, deadline_s: float) -> None:
+    """Reload with this longest deadline."""
+    for index, share in enumerate((0.5, 1.0)):
+        category = rig.config["settings"]["categories"][index]
+        category["give_up_us"] = int(share * deadline_s * 1e6)
+        category["aim_us"] = min(category["aim_us"], int(share * deadline_s * 5e5))
+    rig.gateway.reload_from(lambda: configuration.read(rig.config, {}))
+
+
+@pytest.mark.parametrize("after", [-0.2, 0.0, 0.3])
+def test_shorter_deadlines_by_a_reload_around_the_signal_let_the_process_end_sooner(after: float) -> None:
+    """Guards against a kill that is timed by the new settings while the process goes by the old ones."""
+    with gateway_rig(settings__categories__1__effect="fragile") as rig:
+        client = rig.client()
+        client.send(rig.request("a", "write", body=b"body"))
+        rig.nodes[0].wait_for("a")
+        if after < 0:
+            reload_with_deadline(rig, 0.4)
+            rig.pass_time(-after)
+        rig.gateway.stop()
+        began = rig.now
+        if after >= 0:
+            rig.pass_time(after)
+            reload_with_deadline(rig, 0.4)
+        assert_stops(rig, began + 0.4 + 0.7 - rig.now)
+        assert client.read().count(b"HTTP/1.1 50") == 1
+
+
+@pytest.mark.parametrize("before", [0.2, 1.0])
+def test_longer_deadlines_by_a_reload_just_before_the_signal_do_not_delay_the_end(before: float) -> None:
+    with gateway_rig(
+        settings__categories__0__give_up_us="300000", settings__categories__0__aim_us="150000",
+        settings__categories__1__give_up_us="400000", settings__categories__1__aim_us="200000",
+        settings__categories__1__effect="fragile",
+    ) as rig:  # fmt: skip
+        reload_with_deadline(rig, 5.0)
+        rig.pass_time(before)
+        client = rig.client()
+        client.send(rig.request("a", "write", body=b"body"))
+        rig.nodes[0].wait_for("a")
+        rig.gateway.stop()
+        assert_stops(rig, 0.4 + 0.7)
+        assert client.read().count(b"HTTP/1.1 50") == 1
