Keep the closing of idle connections of both fronts in one place

Cause: close_idle stood in both client servers, line by line (duplicates). Change: it is in ClientAdmission, and each server says how it closes.

--- a/gaugesail/client_admission.py
+++ b/gaugesail/client_admission.py
@@ -131,6 +131,22 @@
         if self.accepting:
             (self.port.stopReading if on else self.port.startReading)()
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        raise NotImplementedError
+
+    def close_idle(self) -> None:
+        """Close idle connections now, and the others when they become idle."""
+        self.closing = True
+        self._close_idle()
+        if not self.connections:
+            self.on_idle()
+
+    def _close_idle(self) -> None:
+        """Close idle connections, but not those with unread input."""
+        raise NotImplementedError
+
     @property
     def has_unanswered(self) -> bool:
         """Whether anything that was read has no answer yet."""
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -215,13 +215,6 @@
                 if priority_to_close(connection, now_us) > 1:
                     connection.close_unless_unread()
 
-    def close_idle(self) -> None:
-        """Close idle connections now, and the others after their next answer."""
-        self.closing = True
-        self._close_idle()
-        if not self._open:
-            self.on_idle()
-
     def _close_idle(self) -> None:
         for connection in list(self._open):
             if connection.idle:
--- a/gaugesail/iscsi/target_server.py
+++ b/gaugesail/iscsi/target_server.py
@@ -132,13 +132,6 @@
         for connection in list(self._open):
             connection.reject_incomplete()
 
-    def close_idle(self) -> None:
-        """Close idle connections now, and the others when they become idle."""
-        self.closing = True
-        self._close_idle()
-        if not self._open:
-            self.on_idle()
-
     def _close_idle(self) -> None:
         for connection in self.closable():
             connection.close()
