Ignore signals once a process has ended its work

Cause: while the interpreter shuts down, handlers in Python are replaced by the default action, so that a SIGHUP or a second SIGTERM in those milliseconds kills. Change: they are ignored from the end of the reactor on.

--- a/gaugesail/runner.py
+++ b/gaugesail/runner.py
@@ -22,6 +22,7 @@
 EXIT_CANNOT_START = 1
 MAX_TRACE_CHARACTERS = 2000  # the end of a traceback that is logged
 FLEET_OPTION = "--fleet"
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run(reactor: Any, log: Logger, arguments: list[str]) -> int:
@@ -39,7 +40,7 @@
     # Installed first, in place of Twisted's: by default SIGHUP ends the process, and Twisted's SIGTERM stops
     # at once.  Signals that arrive before the reactor runs are handled once it does.
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: gateway.reload_from(load)))
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         signal.signal(number, lambda *_: stop_later(time.monotonic()))
     try:
         files, fleet_file = _split_arguments(arguments)
@@ -136,4 +137,7 @@
     gateway.stopped.addCallback(lambda _: reactor.callLater(0, reactor.stop))
     reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
+    # While the interpreter shuts down, handlers in Python are replaced by the default action, a kill.
+    for number in (signal.SIGHUP, *STOP_SIGNALS):
+        signal.signal(number, signal.SIG_IGN)
     return exit_codes[0] if exit_codes else 0
