--- a/gaugesail/rehearsal/fleet/heads.py
+++ b/gaugesail/rehearsal/fleet/heads.py
@@ -110,6 +110,11 @@
         self.started_at = time.monotonic()
         self.paused = False
 
+    def release(self) -> subprocess.Popen[bytes] | None:
+        """Return its process and forget it, so that ``start`` begins another one beside it."""
+        process, self.process = self.process, None
+        return process
+
     def signal(self, signal_number: int) -> None:
         """Send a signal to its process, if it runs."""
         if self.alive and self.process is not None:
--- a/gaugesail/rehearsal/soak/clients.py
+++ b/gaugesail/rehearsal/soak/clients.py
@@ -15,11 +15,16 @@
 from . import plan
 from .judge import Rule, SentRequest, SoakJudge
 
-MAX_CONNECTIONS = 40
+MAX_CONNECTIONS = 60
 CONNECT_S = 2.0
-MAX_IDLE_S = 3.0  # a connection that was idle for longer is not reused
+MAX_IDLE_S = 20.0  # a connection that was idle for longer is not reused
+NEW_CONNECTION_SHARE = 0.15  # of requests that open a connection although some are idle
+LONGEST_IDLE_SHARE = 0.3  # of requests that use the connection that was idle for longest
+RESTING_CLIENTS = 24
+CROWD = 120  # idle connections of a crowd
+EXCUSE_LASTS_S = 0.3  # after a SIGKILL, until the ends of its connections are observed
 RequestSpec = tuple[str, plan.RequestClass, float]  # the id, the class and the timeout in seconds
-CONNECT_AFTER_TERM_S = 0.3  # how long new connections are opened after a SIGTERM
+CONNECT_AFTER_TERM_S = (0.2, 0.4)  # how long new connections are opened after a SIGTERM
 
 
 class SoakConnection(HttpConnection):
@@ -32,6 +37,7 @@
         self.fresh = True  # it has received no answer yet
         self.idle_since = 0.0
         self.close_reason = ""  # the class of the exception that ended it
+        self.rest_s: float | None = None  # its client rests for so long after an answer, then sends once more
 
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm (TCP_NODELAY)."""
@@ -49,19 +55,27 @@
 
     def __init__(
         self, reactor: Any, gateway: str, address: tuple[str, int], judge: SoakJudge, rng: random.Random,
-        shards: int, gateways: int,
+        soak_plan: plan.SoakPlan, longest_deadline_s: float,
     ) -> None:  # fmt: skip
         self.reactor, self.gateway, self._address = reactor, gateway, address
-        self._judge, self._rng, self._shards, self._gateways = judge, rng, shards, gateways
+        self._judge, self._rng, self._plan = judge, rng, soak_plan
+        self._longest_deadline_s = longest_deadline_s
         self._idle: deque[SoakConnection] = deque()
         self._open: set[SoakConnection] = set()
         self._dialing = 0
         self._number = 0
         self.serving = False  # new connections are opened
         self.killed = False  # its process is being killed or has ended: pending requests are excused
+        self._excused_before = 0.0  # requests of before may be unanswered as a process is killed
+        self._crowds = 0  # that occupy its connections now
         self.leave_share = 0.02  # of requests whose client closes before the answer
         self.bad_share = 0.0  # of requests in whose place a client misbehaves
 
+    @property
+    def _is_full(self) -> bool:
+        """Whether no further connection may be opened, beside those of crowds."""
+        return len(self._open) + self._dialing >= MAX_CONNECTIONS + self._crowds * CROWD
+
     # ---- sending ----
 
     def send_request(self) -> None:
@@ -69,8 +83,10 @@
         if self._rng.random() < self.bad_share:
             self._misbehave()
             return
-        while self._idle:
-            connection = self._idle.pop()
+        opens = self.serving and self._rng.random() < NEW_CONNECTION_SHARE
+        while self._idle and not opens:
+            longest = self._rng.random() < LONGEST_IDLE_SHARE
+            connection = self._idle.popleft() if longest else self._idle.pop()
             if connection in self._open and self.reactor.seconds() - connection.idle_since < MAX_IDLE_S:
                 self._send(connection, *self._new_request())
                 return
@@ -79,7 +95,7 @@
         self._connect_and_send(*self._new_request())
 
     def _connect_and_send(self, spec: RequestSpec, text: bytes) -> None:
-        if not self.serving or len(self._open) + self._dialing >= MAX_CONNECTIONS:
+        if not self.serving or self._is_full:
             self._judge.counts["unreached"] += 1
             return
         self._dialing += 1
@@ -101,7 +117,9 @@
         request_class = self._rng.choices(
             plan.REQUEST_CLASSES, [request_class.share for request_class in plan.REQUEST_CLASSES]
         )[0]
-        due_s = request_class.deadline_s if self._rng.random() < 0.85 else self._rng.uniform(0.002, 0.4)
+        due_s = request_class.deadline_share * self._longest_deadline_s
+        if self._rng.random() < 0.15:
+            due_s = min(due_s, self._rng.uniform(0.002, 0.4))
         due_s = max(1, int(due_s * 1000)) / 1000
         body = b"b" * self._rng.choice((10, 300, 3000)) if request_class.writes else b""
         head = (
@@ -109,7 +127,7 @@
             f"Request-Class: {request_class.name}\r\nX-Plan: {self._rng.choice(('basic', 'priority'))}\r\n"
             f"Cookie: block={self._rng.getrandbits(32):x}\r\nRequest-Timeout-Ms: {round(due_s * 1000)}\r\n"
             f"X-IO: volume={self._rng.randrange(1, 40):x},units={self._rng.randint(1, plan.MAX_UNITS)},"
-            f"shard={self._rng.randrange(self._shards)},hosts={min(3, self._gateways)}\r\n"
+            f"shard={self._rng.randrange(self._plan.nodes)},hosts={min(3, self._plan.gateways)}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         return (name, request_class, due_s), head.encode() + body
@@ -120,6 +138,7 @@
             self._judge.request_sent(name, self.gateway, request_class, due_s),
             text,
         )
+        connection.request.may_be_unread = connection.fresh and self._crowds > 0
         if self._rng.random() < 0.05 and len(text) > 40:  # a client that writes in two pieces
             cut = self._rng.randrange(1, len(text))
             connection.link.write(text[:cut])
@@ -150,7 +169,7 @@
     # ---- misbehaving ----
 
     def _misbehave(self) -> None:
-        if not self.serving or len(self._open) + self._dialing >= MAX_CONNECTIONS:
+        if not self.serving or self._is_full:
             return
         self._dialing += 1
         dialed = dial(self.reactor, self._address, CONNECT_S, lambda: SoakConnection(self))
@@ -198,11 +217,13 @@
             return  # the connection of a client that misbehaves
         connection.fresh = False
         self._judge.answer_received(request, head.status, body)
-        if head.keep_alive:
+        if not head.keep_alive:
+            connection.link.loseConnection()
+        elif connection.rest_s is not None:
+            self.reactor.callLater(connection.rest_s, self._send_after_rest, connection)
+        else:
             connection.idle_since = self.reactor.seconds()
             self._idle.append(connection)
-        else:
-            connection.link.loseConnection()
 
     def lost(self, connection: SoakConnection) -> None:
         """Resend the pending request of a closed connection, or report that it has no answer."""
@@ -210,10 +231,10 @@
         request, connection.request = connection.request, None
         if request is None:
             return
-        if self.killed:
+        if self.killed or request.at <= self._excused_before:
             request.excused = True
-        # Crossed: sent while the gateway closed the kept connection, and not forwarded; it is sent once more.
-        crossed = not connection.fresh and not connection.half and not request.arrivals
+        # Crossed: sent while the gateway closed the kept connection, and not read; it is sent once more.
+        crossed = not (connection.fresh or connection.half) and self._judge.may_have_crossed(request)
         if crossed and not request.excused:
             self._judge.counts["crossed"] += 1
             self._resend(request, connection.text)
@@ -223,7 +244,7 @@
             self._judge.no_answer(request, f"{kept} connection ended{amid}: {connection.close_reason}")
 
     def _resend(self, request: SentRequest, text: bytes) -> None:
-        if not self.serving or len(self._open) >= MAX_CONNECTIONS:
+        if not self.serving or self._is_full:
             request.excused = True
             self._judge.no_answer(request, "no connection to resend it on")
             return
@@ -243,8 +264,52 @@
 
         dialed.addCallbacks(connected, not_connected)
 
+    # ---- clients that rest ----
+
+    def rest(self, latest_s: float) -> None:
+        """Connect clients that each send, rest for up to ``latest_s``, and send once more."""
+        for _ in range(RESTING_CLIENTS):
+            if not self._is_full:
+                self._dialing += 1
+                dialed = dial(self.reactor, self._address, CONNECT_S, lambda: SoakConnection(self))
+                dialed.addCallbacks(self._send_before_rest, self._not_connected, (latest_s,))
+
+    def _send_before_rest(self, connection: SoakConnection, latest_s: float) -> None:
+        connection.rest_s = self._rng.uniform(0.0, latest_s)
+        self._connected(connection, *self._new_request())
+
+    def _send_after_rest(self, connection: SoakConnection) -> None:
+        connection.rest_s = None
+        if connection in self._open:
+            self._send(connection, *self._new_request())
+
+    # ---- crowds ----
+
+    def crowd_begins(self) -> list[SoakConnection]:
+        """Connect many clients that say nothing, and return their connections as they open."""
+        self._crowds += 1
+        crowd: list[SoakConnection] = []
+        for _ in range(CROWD):
+            dialed = dial(self.reactor, self._address, CONNECT_S, lambda: SoakConnection(self))
+            dialed.addCallbacks(crowd.append, lambda _: None)
+        return crowd
+
+    def crowd_ends(self, crowd: list[SoakConnection]) -> None:
+        """Disconnect a crowd."""
+        self._crowds -= 1
+        for connection in crowd:
+            self._abort(connection)
+
     # ---- the gateway's process ----
 
+    def process_killed_after_term(self, term_at: float) -> None:
+        """A process is killed after SIGTERM: only what came early enough may be unanswered."""
+        self._excused_before = term_at + plan.KILL_DELAY_S
+        self.reactor.callLater(EXCUSE_LASTS_S, self._end_excuse)
+
+    def _end_excuse(self) -> None:
+        self._excused_before = 0.0
+
     def process_killed(self) -> None:
         """The process is being killed."""
         self.serving, self.killed = False, True
--- a/gaugesail/rehearsal/soak/discovery.py
+++ b/gaugesail/rehearsal/soak/discovery.py
@@ -120,6 +120,11 @@
         """Whether calls are answered."""
         return not (self._down or self.silent)
 
+    @property
+    def all_notified(self) -> bool:
+        """Whether the gateway has been sent every change."""
+        return not self._unnotified
+
     def full_list_sent(self) -> None:
         """The gateway receives the complete current list."""
         self._assume_notified_by(self._reactor.seconds())
--- a/gaugesail/rehearsal/soak/heads.py
+++ b/gaugesail/rehearsal/soak/heads.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import signal
+import subprocess
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -13,12 +15,12 @@
 from .clients import CONNECT_AFTER_TERM_S, SoakClients
 from .discovery import GatewayDiscovery, Membership
 from .judge import Rule, SoakJudge
+from .process_end import POLL_INTERVAL_S, ProcessEnd
 
 READY_S = 10.0  # within which a start counts as in time
-KILL_AFTER_TERM_S = (
-    plan.LONGEST_DEADLINE_S + 0.7
-)  # after a SIGTERM, until a process that still runs is killed
-POLL_INTERVAL_S = 0.02
+SIGTERM_AFTER_READY_S = (0.01, 1.1)  # to the process that a new one replaces
+THIRD_PROCESS_SHARE = 0.3  # of replacements after which another process is started at once
+EARLY_SIGTERM_SHARE = 0.3  # of those in which the second process gets SIGTERM before the third is ready
 ERROR_EVENTS = (
     "policy_raised",
     "action_raised",
@@ -41,12 +43,17 @@
     def __init__(
         self, reactor: Any, process: GatewayProcess, faults: Faults, discovery: GatewayDiscovery,
         membership: Membership, clients: SoakClients, judge: SoakJudge, soak_plan: plan.SoakPlan, index: int,
+        longest_deadline_s: float, spare_management_port: int,
     ) -> None:  # fmt: skip
         self.reactor, self.process, self.faults = reactor, process, faults
         self.discovery, self.clients = discovery, clients
         self._membership, self._judge, self._plan, self._index = membership, judge, soak_plan, index
         self.name = process.name
+        self.longest_deadline_s = longest_deadline_s
+        self._management_ports = [process.management_port, spare_management_port]  # the first is the latest's
+        self._ending: list[subprocess.Popen[bytes]] = []  # replaced, or to be
         self.under_process_fault = False  # a fault ends or pauses its process now
+        self.is_being_replaced = False  # two or three processes of it may run
         self.ready = self._closed = False
         self.start_times_s: list[float] = []  # of each start, until it was ready
         self._revision = 0
@@ -56,14 +63,19 @@
         process.environ = faults.environment()
         self.write_config()
 
+    @property
+    def _sockets(self) -> int:
+        return plan.SOCKETS_WITH_CROWDS if self._plan.has_crowds else plan.SOCKETS
+
     def write_config(self) -> None:
         """Write the configuration, with the current endpoint list."""
         config = {
             "name": self.name, "listen": f"127.0.0.1:{self.process.listen_port}",
-            "management": f"127.0.0.1:{self.process.management_port}", "discovery": self.discovery.address,
-            "seed": f"{self._plan.seed:x}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "management": f"127.0.0.1:{self._management_ports[0]}", "discovery": self.discovery.address,
+            "seed": f"{self._plan.seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self._sockets},
             "known": self._membership.endpoint_list(),
-            "settings": plan.settings(self._plan, self._index, self._revision),
+            "settings": plan.settings(self._plan, self._index, self.longest_deadline_s, self._revision),
         }  # fmt: skip
         self.process.write_files(config, None)
 
@@ -124,32 +136,90 @@
 
     # ---- ending ----
 
-    def term(self, then: Callable[[], None]) -> None:
-        """Send SIGTERM, and SIGKILL after KILL_AFTER_TERM_S; call ``then`` when the process has ended."""
+    def term(self, rng: random.Random, then: Callable[[], None]) -> None:
+        """End its only process; call ``then`` when it has ended."""
+        self.clients.rest(plan.earliest_kill_s(self.longest_deadline_s))
         self.ready = False
-        self.process.term()
-        self.reactor.callLater(CONNECT_AFTER_TERM_S, self._stop_connecting)
-        self._await_end(self.reactor.seconds(), then)
+        self.reactor.callLater(rng.uniform(*CONNECT_AFTER_TERM_S), self._stop_connecting)
+        self._end(self.process.release(), rng, then)
 
     def _stop_connecting(self) -> None:
         if not self.ready:
             self.clients.serving = False
 
-    def _await_end(self, started_at: float, then: Callable[[], None]) -> None:
-        now = self.reactor.seconds()
+    def _end(
+        self, process: subprocess.Popen[bytes] | None, rng: random.Random, then: Callable[[], None]
+    ) -> None:
+        if self._closed or process is None:
+            return
+
+        def ended() -> None:
+            self._ending.remove(process)
+            if not self._closed:
+                then()
+
+        self._ending.append(process)
+        ProcessEnd(
+            self.reactor, process, self.longest_deadline_s, self._judge, self.clients, ended
+        ).begin(rng)  # fmt: skip
+
+    # ---- replacing ----
+
+    def replace(self, rng: random.Random, then: Callable[[], None]) -> None:
+        """Start a second process beside the first, and end the first when the second is ready.
+
+        Sometimes a third process is started then.
+        """
+
+        def ready() -> None:
+            third = rng.random() < THIRD_PROCESS_SHARE
+            after_first = (lambda: None) if third else then
+            self.reactor.callLater(
+                rng.uniform(*SIGTERM_AFTER_READY_S), self._end_replaced, first, rng, after_first, third, then
+            )
+
+        self.clients.rest(SIGTERM_AFTER_READY_S[1] + plan.earliest_kill_s(self.longest_deadline_s))
+        first = self._start_beside(ready)
+
+    def _end_replaced(
+        self,
+        first: subprocess.Popen[bytes] | None,
+        rng: random.Random,
+        after_first: Callable[[], None],
+        third: bool,
+        then: Callable[[], None],
+    ) -> None:
+        self._end(first, rng, after_first)
+        if third:
+            self.reactor.callLater(rng.uniform(0.0, 0.5), self._start_third, rng, then)
+
+    def _start_third(self, rng: random.Random, then: Callable[[], None]) -> None:
+        """Start one more process; the second gets SIGTERM when that is ready, or sometimes before."""
         if self._closed:
             return
-        if not self.process.alive:
-            code = self.process.process.returncode if self.process.process is not None else 0
-            if code != 0:
-                self._judge.report(Rule.CRASH, self.name, f"it ended with {code} after SIGTERM")
-            then()
-        elif now - started_at > KILL_AFTER_TERM_S:
-            self._judge.report(Rule.NOT_ENDED, self.name, f"it runs {now - started_at:.2f} s after SIGTERM")
-            self.process.kill()
-            then()
-        else:
-            self.reactor.callLater(POLL_INTERVAL_S, self._await_end, started_at, then)
+        is_early = rng.random() < EARLY_SIGTERM_SHARE
+        after_s = rng.uniform(*SIGTERM_AFTER_READY_S)
+
+        def ready() -> None:
+            if not is_early:
+                self.reactor.callLater(after_s, self._end, second, rng, then)
+
+        second = self._start_beside(ready)
+        if is_early:
+            self.ready = False
+            self.reactor.callLater(rng.uniform(*CONNECT_AFTER_TERM_S), self._stop_connecting)
+            self._end(second, rng, then)
+
+    def _start_beside(self, ready: Callable[[], None]) -> subprocess.Popen[bytes] | None:
+        """Start a process beside the present one, which is returned; call ``ready`` when it serves."""
+        running = self.process.release()
+        self._management_ports.reverse()
+        self.write_config()
+        self._read_log()
+        self._listening = False
+        self.process.start()
+        self._await_ready(self.reactor.seconds(), ready)
+        return running
 
     def kill(self) -> None:
         """Send SIGKILL; its pending requests are excused."""
@@ -157,6 +227,11 @@
         self.clients.process_killed()
         self.process.kill()
 
+    @property
+    def can_be_replaced(self) -> bool:
+        """Whether its discovery is reachable, so that both processes know the same list."""
+        return self.discovery.reachable and self.discovery.all_notified
+
     # ---- pausing ----
 
     def pause(self) -> None:
@@ -202,6 +277,9 @@
         self.ready, self._closed = False, True
         self.clients.close()
         self.process.kill()
+        for process in self._ending:
+            process.kill()
+            process.wait()
         self._read_log()
         self.discovery.shut_down()
         self.faults.close()
--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -21,6 +21,9 @@
 # How long after its deadline an answer may still arrive; then it counts as late, or the request as lost.
 MAX_LATENESS_S = 0.5
 HARNESS_DELAY_S = 0.15  # of the harness itself, from an event to its observation
+# A request sent so shortly before the end of a kept connection may have crossed the close, unread.
+CROSSING_S = 0.05
+STALL_S = 0.1  # an iteration of the harness that takes longer counts as a pause of all gateways
 
 
 class Rule(Enum):
@@ -80,6 +83,7 @@
     left_at: float | None = None  # when its client closed the connection
     abandoned: bool = False  # counted as lost or excused: no answer is expected any more
     excused: bool = False  # its gateway's process was killed, or a fault broke its connection
+    may_be_unread: bool = False  # on a new connection in a crowd, which may be shut unread
     arrivals: list[Arrival] = field(default_factory=list)
 
 
@@ -89,6 +93,24 @@
     def __init__(self) -> None:
         self._pauses: dict[str, list[tuple[float, float]]] = {}
         self._broken_until: dict[str, float] = {}
+        self._stalls: list[tuple[float, float]] = []
+        self._iteration_began = float("inf")
+
+    @property
+    def stalls(self) -> int:
+        """How often the harness itself stalled."""
+        return len(self._stalls)
+
+    @property
+    def longest_stall_s(self) -> float:
+        """The longest stall of the harness, in seconds."""
+        return max((end - begin for begin, end in self._stalls), default=0.0)
+
+    def iteration_began(self, now: float) -> None:
+        """The harness begins to handle what has arrived; it observes nothing that comes meanwhile."""
+        if now - self._iteration_began > STALL_S:
+            self._stalls.append((self._iteration_began, now))
+        self._iteration_began = now
 
     def pause_began(self, gateway: str, now: float) -> None:
         """The process is paused from ``now`` on (SIGSTOP)."""
@@ -101,9 +123,11 @@
             spans[-1] = spans[-1][0], now
 
     def paused_time_s(self, gateway: str, since: float, until: float) -> float:
-        """For how much of a span the process was paused."""
-        spans = self._pauses.get(gateway, ())
-        return sum(max(0.0, min(end, until) - max(begin, since)) for begin, end in spans)
+        """For how much of a span the process, or the harness, was paused."""
+        spans = [*self._pauses.get(gateway, ()), *self._stalls]
+        if until - self._iteration_began > STALL_S:
+            spans.append((self._iteration_began, until))
+        return float(sum(max(0.0, min(end, until) - max(begin, since)) for begin, end in spans))
 
     def break_connections(self, gateway: str, until: float) -> None:
         """Until then, calls on its connections may fail as if the peer had closed them."""
@@ -176,7 +200,8 @@
         if request.answers or request.abandoned or request.left_at is not None:
             return
         request.abandoned = True
-        if request.excused or self.exemptions.has_broken_connections(request.gateway, request.at):
+        unread = request.may_be_unread and not request.arrivals
+        if request.excused or unread or self.exemptions.has_broken_connections(request.gateway, request.at):
             self.counts["excused"] += 1
         else:
             now = self.now()
@@ -184,6 +209,12 @@
             age = f"{request.name} ({request.request_class.name}) {now - request.at:.3f} s old"
             self.report(Rule.LOST, request.gateway, f"{age}: {reason}; arrivals {arrived}")
 
+    def may_have_crossed(self, request: SentRequest) -> bool:
+        """Whether a request on a kept connection that ends now may not have been read: it is sent again."""
+        now = self.now()
+        paused_s = self.exemptions.paused_time_s(request.gateway, request.at, now)
+        return not request.arrivals and now - request.at <= CROSSING_S + HARNESS_DELAY_S + paused_s
+
     def sweep(self) -> None:
         """Count overdue requests without an answer as lost."""
         now = self.now()
--- a/gaugesail/rehearsal/soak/plan.py
+++ b/gaugesail/rehearsal/soak/plan.py
@@ -13,7 +13,20 @@
 DEDUP_WINDOW_S = 0.8
 INITIAL_CAPACITY_UNITS, INITIAL_CAPACITY_SHARE, OVERLOAD_WINDOW_S, WARM_UP_S = 60.0, 0.31, 1.5, 8.0
 OVERLOAD_FACTOR = 3.0
-LONGEST_DEADLINE_S = 3.0  # the least that is assumed between a SIGTERM and a SIGKILL
+LONGEST_DEADLINES_S = (0.3, 0.8, 1.5, 3.0, 5.0, 10.0)  # each gateway draws one
+LONGEST_AIM_S = 0.4
+# SIGKILL follows SIGTERM no sooner than the longest deadline, which counts as 3 s at most, plus 0.7 s; what
+# came until 0.7 s after SIGTERM may be unanswered then.
+MAX_COUNTED_DEADLINE_S = 3.0
+KILL_DELAY_S = 0.7
+CROWD_SEEDS = 3  # one seed in so many has crowds
+SOCKETS = 512
+SOCKETS_WITH_CROWDS = 160
+
+
+def earliest_kill_s(longest_deadline_s: float) -> float:
+    """When SIGKILL may follow SIGTERM, in seconds after it."""
+    return min(longest_deadline_s, MAX_COUNTED_DEADLINE_S) + KILL_DELAY_S
 
 
 @dataclass(slots=True, frozen=True)
@@ -21,17 +34,17 @@
     """A class of requests, and its share of all requests."""
 
     name: str
-    deadline_s: float
+    deadline_share: float  # of the longest deadline of its gateway
     effect: str  # whether it may run again: retryable yes, fragile no, dedup within DEDUP_WINDOW_S
     share: float
     writes: bool
 
 
 REQUEST_CLASSES = (
-    RequestClass("read", 1.5, "retryable", 0.5, False),
-    RequestClass("write", 2.0, "retryable", 0.2, True),
-    RequestClass("booking", 1.5, "fragile", 0.15, True),
-    RequestClass("ledger", 2.0, "dedup", 0.15, True),
+    RequestClass("read", 0.75, "retryable", 0.5, False),
+    RequestClass("write", 1.0, "retryable", 0.2, True),
+    RequestClass("booking", 0.75, "fragile", 0.15, True),
+    RequestClass("ledger", 1.0, "dedup", 0.15, True),
 )
 
 
@@ -47,15 +60,22 @@
     overlap: int = 3  # concurrent faults, at most
     recovery_s: float = 8.0  # at the end: under load, without new faults
 
+    @property
+    def has_crowds(self) -> bool:
+        """Whether crowds of idle clients come."""
+        return self.seed % CROWD_SEEDS == 0
+
 
-def settings(plan: SoakPlan, index: int, revision: int = 0) -> dict[str, Any]:
+def settings(plan: SoakPlan, index: int, longest_deadline_s: float, revision: int = 0) -> dict[str, Any]:
     """The settings of a gateway in the platform's format.
 
     Odd and even revisions have different latency objectives.
     """
     result = defaults.settings()
     result["balancers"], result["me"] = plan.gateways, index
-    result["categories"] = [_category(request_class, revision) for request_class in REQUEST_CLASSES]
+    result["categories"] = [
+        _category(request_class, longest_deadline_s, revision) for request_class in REQUEST_CLASSES
+    ]
     result["domain"] |= {
         "class_writes": [request_class.writes for request_class in REQUEST_CLASSES],
         "cold_bears": INITIAL_CAPACITY_UNITS,
@@ -70,10 +90,11 @@
     return result
 
 
-def _category(request_class: RequestClass, revision: int) -> dict[str, Any]:
+def _category(request_class: RequestClass, longest_deadline_s: float, revision: int) -> dict[str, Any]:
+    aim_s = min(LONGEST_AIM_S, longest_deadline_s / 2)
     return {
-        "name": request_class.name, "aim_us": 400_000 + 50_000 * (revision % 2),
-        "give_up_us": int(request_class.deadline_s * 1e6),
+        "name": request_class.name, "aim_us": int(aim_s * (1 + 0.1 * (revision % 2)) * 1e6),
+        "give_up_us": int(request_class.deadline_share * longest_deadline_s * 1e6),
         "gain": 2.0, "late_share": 0.15, "effect": request_class.effect, "group": "all",
         "window_us": int(DEDUP_WINDOW_S * 1e6) if request_class.effect == "dedup" else 0,
     }  # fmt: skip
--- a/gaugesail/rehearsal/soak/run.py
+++ b/gaugesail/rehearsal/soak/run.py
@@ -17,7 +17,7 @@
 from .heads import READY_S, SoakGateway, summary
 from .judge import Rule, SoakJudge, Violation
 from .nodes import SoakNode
-from .plan import SoakPlan
+from .plan import LONGEST_DEADLINES_S, SoakPlan
 from .troubles import FAULT_KINDS, FaultContext
 
 REACTOR_STEP_S = 0.002
@@ -51,13 +51,19 @@
         for shard in range(plan.nodes):
             self._new_node(shard)
         library = build(folder)
-        ports = free_ports(2 * plan.gateways)
+        ports = free_ports(3 * plan.gateways)
         self.gateways = [
-            self._new_gateway(number, folder, library, ports[2 * number : 2 * number + 2])
+            self._new_gateway(number, folder, library, ports[3 * number : 3 * number + 3])
             for number in range(plan.gateways)
         ]
         self._fault_context = FaultContext(
-            reactor, self._rng, self.gateways, self._ready_nodes, self._replace, self.judge.exemptions
+            reactor,
+            self._rng,
+            self.gateways,
+            self._ready_nodes,
+            self._replace,
+            self.judge.exemptions,
+            plan.has_crowds,
         )
         self._closed = False
 
@@ -70,16 +76,18 @@
 
     def _new_gateway(self, number: int, folder: Path, library: Path, ports: list[int]) -> SoakGateway:
         name = f"h{number}"
+        longest_deadline_s = self._rng.choice(LONGEST_DEADLINES_S)
         process = GatewayProcess(name, folder / name, ports[0], ports[1], 0)
         discovery = GatewayDiscovery(self.reactor, name, self.membership)
         clients = SoakClients(
             self.reactor, name, ("127.0.0.1", ports[0]), self.judge, random.Random(self._rng.random()),
-            self.plan.nodes, self.plan.gateways,
+            self.plan, longest_deadline_s,
         )  # fmt: skip
         faults = Faults(library, folder / name / "faults")
         return SoakGateway(
-            self.reactor, process, faults, discovery, self.membership, clients, self.judge, self.plan, number
-        )
+            self.reactor, process, faults, discovery, self.membership, clients, self.judge, self.plan, number,
+            longest_deadline_s, ports[2],
+        )  # fmt: skip
 
     # ---- nodes ----
 
@@ -105,7 +113,11 @@
 
     def _run_until(self, end: float) -> None:
         while self.reactor.seconds() < end:
-            self.reactor.iterate(REACTOR_STEP_S)
+            self._iterate()
+
+    def _iterate(self) -> None:
+        self.judge.exemptions.iteration_began(self.reactor.seconds())
+        self.reactor.iterate(REACTOR_STEP_S)
 
     def play(self) -> SoakResult:
         """Run the soak from the start of the processes to their end."""
@@ -117,7 +129,7 @@
                 not all(gateway.ready for gateway in self.gateways)
                 and self.reactor.seconds() < started + 3 * READY_S
             ):
-                self.reactor.iterate(REACTOR_STEP_S)
+                self._iterate()
             for gateway in self.gateways:
                 gateway.start_times_s.clear()  # a simultaneous start on one machine is no restart
             self._send_requests()
@@ -136,6 +148,8 @@
         if processes["starts_late"] > MAX_LATE_START_SHARE * processes["starts"]:
             late = f"{processes['starts_late']} of {processes['starts']} starts were late"
             self.judge.report(Rule.NOT_READY, "", late)
+        self.judge.counts["harness_stalls"] = self.judge.exemptions.stalls
+        self.judge.counts["harness_stall_most_ms"] = round(self.judge.exemptions.longest_stall_s * 1000)
         return SoakResult(self.judge.counts, self.faults, self.judge.violations, processes, hits)
 
     def _send_requests(self) -> None:
--- a/gaugesail/rehearsal/soak/troubles.py
+++ b/gaugesail/rehearsal/soak/troubles.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..faults.shim import DOCUMENTED, SHORT, Call
+from .discovery import GatewayDiscovery
 from .heads import SoakGateway
 from .judge import Exemptions
 from .nodes import Behaviour, SoakNode
@@ -19,6 +20,8 @@
 # Errors of recv and send after which the connection stays open.
 HARMLESS_ERRORS = {errno.EINTR, errno.EAGAIN, errno.ENOBUFS, SHORT}
 CLOSE_LATEST_S = 4.0  # after the last failed call, until all broken connections are closed
+HANG_SHARE = 0.6  # of the ends of processes in which nodes hang
+HANG_S = (2.0, 6.0)
 CLOCK_STEPS_S = (-86400.0, -3600.0, -3.0, -0.5, 0.5, 3.0, 3600.0, 86400.0)
 
 
@@ -45,6 +48,7 @@
     nodes: Callable[[], list[SoakNode]]
     replace: Callable[[SoakNode], None]  # drain it, and start a node for its shard
     exemptions: Exemptions
+    has_crowds: bool
 
     def pick_gateway(self) -> SoakGateway | None:
         """A random gateway that is ready and not under a fault of its process."""
@@ -55,6 +59,14 @@
         """Each gateway with the probability ``share``."""
         return [gateway for gateway in self.gateways if self.rng.random() < share]
 
+    def sample_discoveries(self, share: float) -> list[GatewayDiscovery]:
+        """The discovery of each gateway with one process, with the probability ``share``.
+
+        What a gateway was told is recorded for all its processes together.
+        """
+        found = self.sample_gateways(share)
+        return [gateway.discovery for gateway in found if not gateway.is_being_replaced]
+
     def pick_node(self) -> SoakNode | None:
         """A random node that serves normally."""
         idle = [node for node in self.nodes() if node.behaviour is Behaviour.SERVE and not node.silent]
@@ -71,11 +83,26 @@
 # ---- processes ----
 
 
+def _hang_nodes(context: FaultContext) -> None:
+    """Let some nodes hang while a process ends."""
+    if context.rng.random() > HANG_SHARE:
+        return
+    for _ in range(context.rng.randint(1, max(1, len(context.nodes()) // 2))):
+        if (node := context.pick_node()) is not None:
+            node.behaviour = Behaviour.HANG
+            context.reactor.callLater(context.rng.uniform(*HANG_S), _serve_again, node)
+
+
+def _serve_again(node: SoakNode) -> None:
+    node.behaviour = Behaviour.SERVE
+
+
 def _term(context: FaultContext) -> tuple[float, End] | None:
     if (gateway := context.pick_gateway()) is None:
         return None
     gateway.under_process_fault = True
-    gateway.term(lambda: gateway.start(_release(gateway)))
+    _hang_nodes(context)
+    gateway.term(context.rng, lambda: gateway.start(_release(gateway)))
     return 4.0, lambda: None
 
 
@@ -85,6 +112,31 @@
     return (5.0, lambda: None) if found else None
 
 
+def _replace_process(context: FaultContext) -> tuple[float, End] | None:
+    """Replace a process by a second one, sometimes with a third one soon after."""
+    gateway = context.pick_gateway()
+    if gateway is None or not gateway.can_be_replaced:
+        return None
+    gateway.under_process_fault = gateway.is_being_replaced = True
+
+    def replaced() -> None:
+        gateway.under_process_fault = gateway.is_being_replaced = False
+
+    _hang_nodes(context)
+    gateway.replace(context.rng, replaced)
+    return 5.0, lambda: None
+
+
+def _crowd(context: FaultContext) -> tuple[float, End] | None:
+    """Many idle clients occupy the connections of a gateway; its process may be ended meanwhile."""
+    gateway = context.pick_gateway() if context.has_crowds else None
+    if gateway is None:
+        return None
+    clients = gateway.clients
+    crowd = clients.crowd_begins()
+    return context.rng.uniform(1.0, 6.0), lambda: clients.crowd_ends(crowd)
+
+
 def _kill(context: FaultContext) -> tuple[float, End] | None:
     if (gateway := context.pick_gateway()) is None:
         return None
@@ -224,7 +276,7 @@
 
 
 def _silent(context: FaultContext) -> tuple[float, End] | None:
-    found = [gateway.discovery for gateway in context.sample_gateways(0.6)]
+    found = context.sample_discoveries(0.6)
     for discovery in found:
         discovery.fall_silent()
 
@@ -236,13 +288,13 @@
 
 
 def _cut(context: FaultContext) -> tuple[float, End] | None:
-    for gateway in context.sample_gateways(0.7):
-        gateway.discovery.cut()
+    for discovery in context.sample_discoveries(0.7):
+        discovery.cut()
     return 0.5, lambda: None
 
 
 def _down(context: FaultContext) -> tuple[float, End] | None:
-    found = [gateway.discovery for gateway in context.sample_gateways(0.6) if gateway.discovery.reachable]
+    found = [discovery for discovery in context.sample_discoveries(0.6) if discovery.reachable]
     for discovery in found:
         discovery.take_down()
 
@@ -281,6 +333,7 @@
 
 
 FAULT_KINDS = (
+    FaultKind("replace", 3.0, _replace_process), FaultKind("crowd", 2.0, _crowd),
     FaultKind("term", 2.0, _term), FaultKind("rolling", 0.7, _rolling), FaultKind("kill", 1.0, _kill),
     FaultKind("pause", 1.5, _pause), FaultKind("reload", 1.5, _reload),
     FaultKind("move_discovery", 1.0, _move_discovery), FaultKind("step_clock", 1.5, _step_clock),
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -12,16 +12,18 @@
 
 from gaugesail.rehearsal.soak import plan
 from gaugesail.rehearsal.soak.judge import ColdNodeWindow, Rule, SoakJudge
+from gaugesail.rehearsal.soak.troubles import FAULT_KINDS
 
 ROOT = Path(__file__).parents[2]
 READ, WRITE, BOOKING, LEDGER = plan.REQUEST_CLASSES
 DUE_S = 1.0
 
 
-def test_a_short_soak_violates_no_rule() -> None:
+@pytest.mark.parametrize("seed", [3, 4, 5])
+def test_a_short_soak_violates_no_rule(seed: int) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "gaugesail.cli", "trial", "soak", "--heads", "4", "--seconds", "10",
-         "--overlap", "2", "--seed", "3", "--json"],
+        [sys.executable, "-m", "gaugesail.cli", "trial", "soak", "--heads", "5", "--seconds", "12",
+         "--seed", str(seed), "--json"],
         cwd=ROOT, capture_output=True, text=True, timeout=120, check=False,
     )  # fmt: skip
     assert done.stdout, done.stderr
@@ -31,6 +33,12 @@
     assert report["requests"]["served"] > 100 and len(report["troubles"]) > 3
 
 
+def test_soaks_draw_short_and_long_deadlines_replacements_and_crowds() -> None:
+    assert {plan.earliest_kill_s(longest) for longest in plan.LONGEST_DEADLINES_S} == {1.0, 1.5, 2.2, 3.7}
+    assert {plan.SoakPlan(seed=seed).has_crowds for seed in (3, 4, 5)} == {True, False}
+    assert {"replace", "term", "crowd"} <= {kind.name for kind in FAULT_KINDS}
+
+
 class Link:
     """An open connection of a node."""
 
@@ -107,6 +115,41 @@
         assert harness.rules == []
 
 
+def test_a_request_may_have_crossed_the_end_of_its_connection_only_for_a_moment() -> None:
+    for after_s, arrives, expected in ((0.1, False, True), (0.5, False, False), (0.1, True, False)):
+        harness = Harness()
+        request = harness.send()
+        if arrives:
+            harness.arrives()
+        harness.now += after_s
+        assert harness.judge.may_have_crossed(request) == expected
+
+
+def test_a_request_on_a_new_connection_in_a_crowd_may_be_unread_but_not_lost_at_a_node() -> None:
+    unread, forwarded = Harness(), Harness()
+    for harness in (unread, forwarded):
+        request = harness.send()
+        request.may_be_unread = True
+        if harness is forwarded:
+            harness.arrives()
+        harness.judge.no_answer(request, "closed")
+    assert [unread.rules, forwarded.rules] == [[], [Rule.LOST]]
+
+
+def test_a_stall_of_the_harness_counts_as_a_pause_of_all_gateways() -> None:
+    stalled, running = Harness(), Harness()
+    for harness, step_s in ((stalled, 0.5), (running, 0.05)):
+        harness.send()
+        for _ in range(round(0.5 / step_s)):
+            harness.judge.exemptions.iteration_began(harness.now)
+            harness.now += step_s
+        harness.arrives(0.0, timeout_ms=1000)
+    assert [stalled.rules, running.rules] == [[], [Rule.TOO_MUCH_TIME_TOLD]]
+    assert [stalled.judge.exemptions.stalls, running.judge.exemptions.stalls] == [0, 0]
+    stalled.judge.exemptions.iteration_began(stalled.now)
+    assert stalled.judge.exemptions.stalls == 1
+
+
 def test_concurrent_attempts_too_many_and_after_the_client_left_are_violations() -> None:
     concurrent, many, left = Harness(), Harness(), Harness()
     concurrent.send()
