Answer all that is open at the end of a process before its steps are logged

What callers saw: nothing; found on reading the change again. With a crowd of open requests the last answers leave late, while SIGKILL comes nearer. Change: all are answered first; then the steps of five are logged, the counter has all. Result: the new test in tests/core/test_engine.py fails before (0 answered at the first search, 50 expected) and passes; 73 tests of core, shutdown and the reproduction pass.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -62,6 +62,7 @@
 from .trace import Step, Trace
 
 MAX_OPEN_REQUESTS = 4096
+MAX_LOGGED_UNSERVED = 5  # requests; the steps of each are searched in the whole trace
 
 
 class Engine:
@@ -319,16 +320,18 @@
         Requests that were never sent to a node are rejected, as their clients may try again.
         """
         self.closing = True
-        for request_id, entry in list(self._open.items()):
-            name = entry.request.client_request_id
-            steps = "; ".join(map(str, self.trace.steps_of(name)))
-            self._log.info("unserved_at_shutdown", request=name, attempts=entry.attempts, steps=steps)
-            self.counts["unserved_at_shutdown"] += 1
+        unserved = list(self._open.items())
+        for request_id, entry in unserved:
             if entry.attempts:
                 self._answers.fail(request_id, FailureReason.OUT_OF_TIME)
             else:
                 self._answers.reject(request_id, entry.request.settings.longest_retry_after_us)
             self.policy.add(ClientDisconnected(request_id))
+        self.counts["unserved_at_shutdown"] += len(unserved)
+        for _, entry in unserved[:MAX_LOGGED_UNSERVED]:
+            name = entry.request.client_request_id
+            steps = "; ".join(map(str, self.trace.steps_of(name)))
+            self._log.info("unserved_at_shutdown", request=name, attempts=entry.attempts, steps=steps)
 
     # ---- the policy's actions ----
 
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -8,7 +8,7 @@
 import pytest
 
 from gaugesail.core.clock import ReactorClock
-from gaugesail.core.engine import Engine
+from gaugesail.core.engine import MAX_LOGGED_UNSERVED, Engine
 from gaugesail.core.ports import Attempt, ClientRequest, FailureReason
 from gaugesail.logs import make_logger
 from gaugesail.policy.actions import Action, CancelAttempt, FailRequest, RejectRequest, StartAttempt, WriteLog
@@ -219,3 +219,24 @@
     rig.engine.submit(ClientRequest("a", SETTINGS, 0, timeout_us, None), rig)
     rig.reactor.advance(0.01)
     assert not rig.sent and rig.answers == [("failed", "out of time")]
+
+
+def test_the_end_of_the_process_answers_all_before_it_searches_the_trace(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a crowd of open requests whose steps are searched while SIGKILL comes nearer."""
+    rig = Rig()
+    rig.engine._max_open = 100
+    for number in range(50):
+        rig.submit(name=f"r{number}")
+    searched_after: list[int] = []
+    steps_of = rig.engine.trace.steps_of
+
+    def search(subject: str) -> Any:
+        searched_after.append(len(rig.answers))
+        return steps_of(subject)
+
+    monkeypatch.setattr(rig.engine.trace, "steps_of", search)
+    rig.engine.fail_all()
+    assert len(rig.answers) == rig.engine.counts["unserved_at_shutdown"] == 50
+    assert searched_after == [50] * MAX_LOGGED_UNSERVED
