--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -63,7 +63,7 @@
             self.buffers,
             log,
             ClientCapacity(limits.client_connections, limits.client_overflow),
-            self._shutdown.clients_gone,
+            self._shutdown.end_if_idle,
         )
         self.operations = Operations(self.engine, self.front, self._state, self._handover.announce_call, log)
 
--- a/gaugesail/iscsi/app.py
+++ b/gaugesail/iscsi/app.py
@@ -74,7 +74,7 @@
             self.buffers,
             log,
             self._sessions(1),
-            self._shutdown.clients_gone,
+            self._shutdown.end_if_idle,
         )
         self.operations = Operations(self.engine, self.front, self._state, self._handover.announce_call, log)
 
--- a/gaugesail/rehearsal/judge.py
+++ b/gaugesail/rehearsal/judge.py
@@ -13,12 +13,11 @@
 
 from ..http.messages import BadMessage, EndOfMessage, Head
 from ..http.parser import Parser
+from .kill_time import MAX_COUNTED_DEADLINE_S, earliest_kill_s
 
 PROTOCOL_SLACK_S = 0.05  # the protocol's allowance on each time limit
 STALLED_CLIENT_POLL_S = 0.1
 PROCESS_POLL_S = 0.05
-# SIGKILL follows SIGTERM no sooner than the longest deadline, which counts as 3 s at most, plus 0.7 s.
-MAX_COUNTED_DEADLINE_S, KILL_DELAY_S = 3.0, 0.7
 ACCEPT_AFTER_SIGTERM_S = 0.4  # clients still open new connections for this long after SIGTERM
 MAX_UNREACHABLE_S = 0.1  # longest time during which no process may accept connections
 MAX_LINGER_S = 0.5  # longest time that a process may run without a listener, client connections or requests
@@ -180,7 +179,7 @@
     @property
     def kill_after_s(self) -> float:
         """Seconds from SIGTERM to SIGKILL."""
-        return min(MAX_COUNTED_DEADLINE_S, self.max_deadline_s) + KILL_DELAY_S
+        return earliest_kill_s(self.max_deadline_s)
 
     @property
     def ending(self) -> bool:
--- a/gaugesail/rehearsal/soak/clients.py
+++ b/gaugesail/rehearsal/soak/clients.py
@@ -11,6 +11,7 @@
 
 from ...http.messages import Head
 from ...net import dial
+from ..kill_time import KILL_DELAY_S
 from ..peers import HttpConnection
 from . import plan
 from .judge import Rule, SentRequest, SoakJudge
@@ -304,7 +305,7 @@
 
     def process_killed_after_term(self, term_at: float) -> None:
         """A process is killed after SIGTERM: only what came early enough may be unanswered."""
-        self._excused_before = term_at + plan.KILL_DELAY_S
+        self._excused_before = term_at + KILL_DELAY_S
         self.reactor.callLater(EXCUSE_LASTS_S, self._end_excuse)
 
     def _end_excuse(self) -> None:
--- a/gaugesail/rehearsal/soak/heads.py
+++ b/gaugesail/rehearsal/soak/heads.py
@@ -11,6 +11,7 @@
 
 from ..faults.shim import Faults
 from ..fleet.heads import GatewayProcess
+from ..kill_time import earliest_kill_s
 from . import plan
 from .clients import CONNECT_AFTER_TERM_S, SoakClients
 from .discovery import GatewayDiscovery, Membership
@@ -138,7 +139,7 @@
 
     def term(self, rng: random.Random, then: Callable[[], None]) -> None:
         """End its only process; call ``then`` when it has ended."""
-        self.clients.rest(plan.earliest_kill_s(self.longest_deadline_s))
+        self.clients.rest(earliest_kill_s(self.longest_deadline_s))
         self.ready = False
         self.reactor.callLater(rng.uniform(*CONNECT_AFTER_TERM_S), self._stop_connecting)
         self._end(self.process.release(), rng, then)
@@ -172,25 +173,22 @@
         """
 
         def ready() -> None:
-            third = rng.random() < THIRD_PROCESS_SHARE
-            after_first = (lambda: None) if third else then
-            self.reactor.callLater(
-                rng.uniform(*SIGTERM_AFTER_READY_S), self._end_replaced, first, rng, after_first, third, then
-            )
+            has_third = rng.random() < THIRD_PROCESS_SHARE
+            after_s = rng.uniform(*SIGTERM_AFTER_READY_S)
+            self.reactor.callLater(after_s, self._end_replaced, first, rng, has_third, then)
 
-        self.clients.rest(SIGTERM_AFTER_READY_S[1] + plan.earliest_kill_s(self.longest_deadline_s))
+        self.clients.rest(SIGTERM_AFTER_READY_S[1] + earliest_kill_s(self.longest_deadline_s))
         first = self._start_beside(ready)
 
     def _end_replaced(
         self,
         first: subprocess.Popen[bytes] | None,
         rng: random.Random,
-        after_first: Callable[[], None],
-        third: bool,
+        has_third: bool,
         then: Callable[[], None],
     ) -> None:
-        self._end(first, rng, after_first)
-        if third:
+        self._end(first, rng, (lambda: None) if has_third else then)
+        if has_third:
             self.reactor.callLater(rng.uniform(0.0, 0.5), self._start_third, rng, then)
 
     def _start_third(self, rng: random.Random, then: Callable[[], None]) -> None:
--- a/gaugesail/rehearsal/soak/plan.py
+++ b/gaugesail/rehearsal/soak/plan.py
@@ -15,20 +15,11 @@
 OVERLOAD_FACTOR = 3.0
 LONGEST_DEADLINES_S = (0.3, 0.8, 1.5, 3.0, 5.0, 10.0)  # each gateway draws one
 LONGEST_AIM_S = 0.4
-# SIGKILL follows SIGTERM no sooner than the longest deadline, which counts as 3 s at most, plus 0.7 s; what
-# came until 0.7 s after SIGTERM may be unanswered then.
-MAX_COUNTED_DEADLINE_S = 3.0
-KILL_DELAY_S = 0.7
 CROWD_SEEDS = 3  # one seed in so many has crowds
 SOCKETS = 512
 SOCKETS_WITH_CROWDS = 160
 
 
-def earliest_kill_s(longest_deadline_s: float) -> float:
-    """When SIGKILL may follow SIGTERM, in seconds after it."""
-    return min(longest_deadline_s, MAX_COUNTED_DEADLINE_S) + KILL_DELAY_S
-
-
 @dataclass(slots=True, frozen=True)
 class RequestClass:
     """A class of requests, and its share of all requests."""
--- a/gaugesail/rehearsal/soak/process_end.py
+++ b/gaugesail/rehearsal/soak/process_end.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..kill_time import earliest_kill_s
 from .clients import SoakClients
 from .judge import Rule, SoakJudge
-from .plan import earliest_kill_s
 
 POLL_INTERVAL_S = 0.02
 REPEAT_SHARE = 0.3  # of the ends that have a second SIGTERM, and of those with a SIGHUP
--- a/gaugesail/shutdown.py
+++ b/gaugesail/shutdown.py
@@ -155,17 +155,17 @@
     def _stop_accepting(self) -> None:
         """Close the clients' address once no connection waits in the kernel, which that would reset."""
         if self._process.close_port(at_once=self._after_us >= self._steps.end_us):
-            self._end_if_idle()
+            self.end_if_idle()
         else:
             self._clock.call_later(ACCEPT_RETRY_US, self._stop_accepting)
 
     def _close_idle(self) -> None:
         """Close idle connections; those of a replaced process migrate gradually until ``migrated_us``."""
         process = self._process
-        if process.replaced and self._after_us < self._steps.migrated_us:
+        migrates = process.replaced and self._after_us < self._steps.migrated_us
+        if migrates and process.front.connections:
             self._clock.call_later(MIGRATION_POLL_US, self._close_idle)
-            if process.front.connections:
-                return
+            return
         if not process.front.closing:
             self._log_step("closing_idle_clients")
         process.front.close_idle()
@@ -199,11 +199,8 @@
         self._log_step("stopped")
         process.close()
 
-    def clients_gone(self) -> None:
-        """The last client has left, and none is to come."""
-        self._end_if_idle()
-
-    def _end_if_idle(self) -> None:
+    def end_if_idle(self) -> None:
+        """End now if the last client has left and none is to come."""
         front = self._process.front
         if front.closing and not front.connections and (self._process.replaced or not front.listening):
             self._end()
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -327,12 +327,18 @@
         assert_stops(rig, 1.5)
 
 
-def send_behind_a_slow_request(rig: GatewayRig, after: float) -> PeerSocket:
-    """Send a request whose answer comes ``after`` seconds after the signal, and the next one behind it."""
+def stop_with_a_write_in_flight(rig: GatewayRig) -> PeerSocket:
+    """Stop the gateway while a node holds the write "a" of the client that is returned."""
     client = rig.client()
     client.send(rig.request("a", "write", body=b"body"))
     rig.nodes[0].wait_for("a")
     rig.gateway.stop()
+    return client
+
+
+def send_behind_a_slow_request(rig: GatewayRig, after: float) -> PeerSocket:
+    """Send a request whose answer comes ``after`` seconds after the signal, and the next one behind it."""
+    client = stop_with_a_write_in_flight(rig)
     rig.pass_time(after)
     client.send(rig.request("b", "write", body=b"body"))
     rig.turn(2)
@@ -355,10 +361,7 @@
 
 def test_a_repeatable_request_without_time_is_refused_so_that_its_client_tries_again() -> None:
     with gateway_rig(settings__categories__1__aim_us="4000000") as rig:
-        client = rig.client()
-        client.send(rig.request("a", "write", body=b"body"))
-        rig.nodes[0].wait_for("a")
-        rig.gateway.stop()
+        client = stop_with_a_write_in_flight(rig)
         rig.pass_time(3.3)
         assert not client.read()
         assert b"HTTP/1.1 503" in client.read_until(b"\r\n\r\n")
@@ -379,10 +382,7 @@
 def test_nothing_is_read_from_the_moment_in_which_the_process_ends() -> None:
     """Guards against a request that is read between the last answer and the exit."""
     with gateway_rig(settings__categories__1__effect="fragile") as rig:
-        client, text = rig.client(), rig.request("b")
-        client.send(rig.request("a", "write", body=b"body"))
-        rig.nodes[0].wait_for("a")
-        rig.gateway.stop()
+        client, text = stop_with_a_write_in_flight(rig), rig.request("b")
         rig.pass_time(3.2)
         client.send(text[:20])
         rig.turn(2)
@@ -398,10 +398,7 @@
 
 def test_requests_behind_one_another_at_the_end_each_have_an_answer() -> None:
     with gateway_rig(settings__categories__1__effect="fragile") as rig:
-        client = rig.client()
-        client.send(rig.request("a", "write", body=b"body"))
-        rig.nodes[0].wait_for("a")
-        rig.gateway.stop()
+        client = stop_with_a_write_in_flight(rig)
         rig.pass_time(KILL_S - 0.26)
         for number in range(20):
             client.send(rig.request(f"b{number}"))
@@ -463,9 +460,6 @@
     ) as rig:  # fmt: skip
         reload_with_deadline(rig, 5.0)
         rig.pass_time(before)
-        client = rig.client()
-        client.send(rig.request("a", "write", body=b"body"))
-        rig.nodes[0].wait_for("a")
-        rig.gateway.stop()
+        client = stop_with_a_write_in_flight(rig)
         assert_stops(rig, 0.4 + 0.7)
         assert client.read().count(b"HTTP/1.1 50") == 1
--- a/tests/process/test_ending_successor.py
+++ b/tests/process/test_ending_successor.py
@@ -29,15 +29,15 @@
     time.sleep(0.1)
 
 
-def connect_for(gateway: EndingGateway, seconds: float) -> list[Exchange | float]:
-    """Connect again and again, with a request each; a refused connection is the time of its attempt."""
-    found: list[Exchange | float] = []
+def connect_for(gateway: EndingGateway, seconds: float) -> list[Exchange | None]:
+    """Connect again and again, with a request each; None is a connection that was refused."""
+    found: list[Exchange | None] = []
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         try:
             client = KeptClient(gateway.gateway.port, f"{len(found):08x}", DEADLINE_S)
         except ConnectionRefusedError:
-            found.append(time.monotonic())
+            found.append(None)
         else:
             found.append(client.exchange(SERVING))
             client.close()
@@ -45,12 +45,12 @@
     return found
 
 
-def problems(found: list[Exchange | float], crossed: bool) -> list[str]:
+def problems(found: list[Exchange | None], crossed: bool) -> list[str]:
     """What is wrong; ``crossed`` allows connections that were made as a port closed, and reset."""
     return [
         f"{exchange.status} after {exchange.ended - exchange.sent:.3f} s"
         for exchange in found
-        if isinstance(exchange, Exchange)
+        if exchange is not None
         and (exchange.status != 200 or exchange.ended - exchange.sent > ANSWERED_S)
         and not (crossed and not exchange.status and exchange.ended - exchange.sent <= CROSSING_S)
     ]
@@ -64,7 +64,7 @@
         successor.send_signal(signal.SIGTERM)
         found = connect_for(gateway, OBSERVED_S)
         assert not problems(found, crossed=False)
-        assert all(isinstance(exchange, Exchange) for exchange in found)
+        assert None not in found
     finally:
         gateway.close()
 
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from gaugesail.rehearsal.kill_time import earliest_kill_s
 from gaugesail.rehearsal.soak import plan
 from gaugesail.rehearsal.soak.judge import ColdNodeWindow, Rule, SoakJudge
 from gaugesail.rehearsal.soak.troubles import FAULT_KINDS
@@ -34,7 +35,7 @@
 
 
 def test_soaks_draw_short_and_long_deadlines_replacements_and_crowds() -> None:
-    assert {plan.earliest_kill_s(longest) for longest in plan.LONGEST_DEADLINES_S} == {1.0, 1.5, 2.2, 3.7}
+    assert {earliest_kill_s(longest) for longest in plan.LONGEST_DEADLINES_S} == {1.0, 1.5, 2.2, 3.7}
     assert {plan.SoakPlan(seed=seed).has_crowds for seed in (3, 4, 5)} == {True, False}
     assert {"replace", "term", "crowd"} <= {kind.name for kind in FAULT_KINDS}
 
--- a/tests/support/gateway_processes.py
+++ b/tests/support/gateway_processes.py
@@ -15,31 +15,33 @@
 
 from .faulty_process import HOST, READY_S, ROOT, ListService, wait_until
 
+RUN = (sys.executable, "-m", "gaugesail")
+
+
+def put_request(name: str, block: int, shard: int, timeout_s: float, body: bytes = b"") -> bytes:
+    """Return a write of a block."""
+    lines = [
+        "PUT /api HTTP/1.1", "Host: h", f"Request-Id: {name}", "Request-Class: write", "X-Plan: basic",
+        f"Cookie: block={block:x}", f"X-IO: volume=1,units=1,shard={shard},hosts=1",
+        f"Request-Timeout-Ms: {int(timeout_s * 1000)}", f"Content-Length: {len(body)}", "", "",
+    ]  # fmt: skip
+    return "\r\n".join(lines).encode() + body
+
 
 class GatewayProcesses:
     """Starts processes of one gateway; ``changes`` are entries of its settings, with ``__`` between parts."""
 
-    def __init__(
-        self,
-        folder: Path,
-        discovery: ListService,
-        changes: dict[str, str],
-        command: tuple[str, ...] = (sys.executable, "-m", "gaugesail"),
-    ) -> None:
-        self.folder, self._discovery, self._command = folder, discovery, command
+    def __init__(self, folder: Path, discovery: ListService, changes: dict[str, str]) -> None:
+        self.folder = folder
         (self.port,) = free_ports(1)
         self.started: list[subprocess.Popen[bytes]] = []
-        self.settings = defaults.settings()
-        self.write_config(changes)
-
-    def write_config(self, changes: dict[str, str]) -> None:
-        """Write the configuration, after changing the settings."""
+        settings = defaults.settings()
         for path, value in changes.items():
-            defaults.change(self.settings, path.replace("__", "."), value)
+            defaults.change(settings, path.replace("__", "."), value)
         config: dict[str, Any] = {
-            "name": "n", "listen": f"{HOST}:{self.port}", "discovery": self._discovery.address, "seed": "7",
+            "name": "n", "listen": f"{HOST}:{self.port}", "discovery": discovery.address, "seed": "7",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": self._discovery.endpoint_list(), "settings": self.settings,
+            "known": discovery.endpoint_list(), "settings": settings,
         }  # fmt: skip
         (self.folder / "config").write_text(json.dumps(config))
 
@@ -47,7 +49,7 @@
         """Start a process; returns at once."""
         environ = os.environ | {"BALANCER_CONFIG": str(self.folder / "config"), "TMPDIR": str(self.folder)}
         with self.log(len(self.started)).open("wb") as log:
-            process = subprocess.Popen(command or self._command, cwd=cwd, env=environ, stderr=log)
+            process = subprocess.Popen(command or RUN, cwd=cwd, env=environ, stderr=log)
         self.started.append(process)
         return process
 
--- a/tests/support/kept_clients.py
+++ b/tests/support/kept_clients.py
@@ -11,11 +11,11 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from gaugesail.rehearsal.kill_time import earliest_kill_s
+
 from .faulty_process import HOST, HangingNode, ListService, ThreadedNode, read_head, wait_until
-from .gateway_processes import GatewayProcesses
+from .gateway_processes import GatewayProcesses, put_request
 
-KILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM no sooner than the longest deadline plus this
-MAX_COUNTED_DEADLINE_S = 3.0  # a longer one counts as this
 # A request that is sent so shortly before its connection ends may have crossed the close, unread.
 CROSSING_S = 0.05
 # A request that is sent so long before the earliest kill can be served by a node that answers at once.
@@ -23,11 +23,6 @@
 SERVING, HANGING = 0, 1  # shards
 
 
-def earliest_kill_s(longest_deadline_s: float) -> float:
-    """When SIGKILL may follow SIGTERM, in seconds after it, by the protocol page."""
-    return min(longest_deadline_s, MAX_COUNTED_DEADLINE_S) + KILL_DELAY_S
-
-
 @dataclass(eq=False)
 class Exchange:
     """One request on a kept connection; times are monotonic seconds."""
@@ -59,7 +54,7 @@
         name = f"{self._name}{self._sent:08x}"
         exchange = Exchange(name, shard, time.monotonic())
         with suppress(OSError):
-            self._socket.sendall(self._request(name, shard))
+            self._socket.sendall(put_request(name, hash(name) & 0xFFFF, shard, self._deadline_s))
             head = read_head(self._stream)
             length = int(head.get("content-length", "0")) if head else 0
             if head is not None and len(self._stream.read(length)) == length:
@@ -67,14 +62,6 @@
         exchange.ended = time.monotonic()
         return exchange
 
-    def _request(self, name: str, shard: int) -> bytes:
-        lines = [
-            "PUT /api HTTP/1.1", "Host: h", f"Request-Id: {name}", "Request-Class: write", "X-Plan: basic",
-            f"Cookie: block={hash(name) & 0xFFFF:x}", f"X-IO: volume=1,units=1,shard={shard},hosts=1",
-            f"Request-Timeout-Ms: {int(self._deadline_s * 1000)}", "Content-Length: 0", "", "",
-        ]  # fmt: skip
-        return "\r\n".join(lines).encode()
-
     def has_ended(self) -> bool:
         """Whether the connection has been closed while the client rested."""
         self._socket.setblocking(False)
--- a/tests/support/ordered_writes.py
+++ b/tests/support/ordered_writes.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from .faulty_process import HOST, ListService, ThreadedNode, read_head
-from .gateway_processes import GatewayProcesses
+from .gateway_processes import GatewayProcesses, put_request
 
 SERVICE_S = 0.06  # of one write at the node
 KEY_QUIET_S = 0.3
@@ -78,7 +78,7 @@
                     self._socket = socket.create_connection((HOST, self.port), 2.0)
                     self._socket.settimeout(TIMEOUT_S + 2.0)
                     self._stream = self._socket.makefile("rb")
-                self._socket.sendall(self._request(name))
+                self._socket.sendall(put_request(name, self.item, 0, TIMEOUT_S, b"data"))
                 write.sent = time.monotonic()
                 head = read_head(self._stream)
                 if head is not None:
@@ -90,14 +90,6 @@
                     return
             self.close()
 
-    def _request(self, name: str) -> bytes:
-        lines = [
-            "PUT /api HTTP/1.1", "Host: h", f"Request-Id: {name}", "Request-Class: write", "X-Plan: basic",
-            f"Cookie: block={self.item:x}", "X-IO: volume=1,units=1,shard=0,hosts=1",
-            f"Request-Timeout-Ms: {int(TIMEOUT_S * 1000)}", "Content-Length: 4", "", "data",
-        ]  # fmt: skip
-        return "\r\n".join(lines).encode()
-
     def close(self) -> None:
         if self._socket is not None:
             self._stream.close()
