Let requests wait as long as their clients do, for any attempt or repeat

Seen by callers: with 3 s left a request at a full node was refused at its aim or at 0.4 of its time, though a place came free at 1 s; a further attempt waited on where a first one was refused; a repeat with 1.2 s left was refused at once while a fresh request with as much waited 0.48 s. Change: a request has one time, answer_by, from what its client says and the end of the process. It waits until its latest start: not even the fastest answer measured at the node (service_time) would come in time after it. The queue ahead is measured by served attempts against that, at once; of a node that has served nothing, nothing is known. FirstRequests had no other use and goes, with the tests of what it found.

--- a/gaugesail/policy/admission.py
+++ b/gaugesail/policy/admission.py
@@ -13,10 +13,9 @@
 from .rejections import NodeState, RejectionReason
 from .request_queue import RequestQueue
 from .retry_budget import RetryBudget
-from .settings import Settings
 from .volume_table import VolumeTable
 
-OBJECTIVE_MARGIN_TICKS = 2  # ticks between the latest objective and the time the client gives up
+ANSWER_MARGIN_TICKS = 2  # between the latest answer and the time the client gives up
 
 
 class Admission:
@@ -56,8 +55,9 @@
         if not self._may_wait(request):
             self._not_waiting.append(request)
         self._queue.enqueue(request)
-        if request.objective_at <= state.now + state.tick_us:
-            # The next queue check may run after the objective, or after the client has given up.
+        node = self._node_table.shards[request.shard].node
+        if request.latest_start(node) <= state.now + state.tick_us:
+            # The next queue check may run after the latest start, or after the client has given up.
             self._queue.reject(request, RejectionReason.TOO_LATE)
 
     def _open(self, event: RequestReceived) -> PendingRequest:
@@ -65,7 +65,6 @@
         request_class = settings.classes[event.class_index]
         position = self._state.class_positions[request_class.name]
         volume = self._volumes.open(event, settings)
-        objective_at = self._objective_at(event, settings, position)
         ordered = request_class.ordered and event.key
         ordered_key = self._ordered_keys.open(event.key) if ordered else None
         any_shard = event.shard < 0
@@ -78,8 +77,7 @@
             any_shard=any_shard,
             units=event.units,
             received_at=event.received_us or self._state.now,
-            objective_at=objective_at,
-            deadline_at=event.deadline_us,
+            answer_by=self._answer_by(event.deadline_us),
             ordered_key=ordered_key,
             max_attempts=settings.max_attempts,
         )
@@ -88,31 +86,16 @@
             self._ordered_keys.add(request, ordered_key)
         return request
 
-    def _objective_at(self, event: RequestReceived, settings: Settings, position: int) -> int:
-        """Return when the latency objective of a request ends, in microseconds.
-
-        It counts from the client's first request for the same operation, so a retry has only what is left
-        of its class's time.
-        """
-        request_class = settings.classes[event.class_index]
-        received_at = event.received_us or self._state.now
-        earliest = event.deadline_us - request_class.deadline_us
-        first_received_at = self._recovery.first_received_at(received_at, event, position, earliest)
-        return min(
-            first_received_at + request_class.latency_objective_us,
-            self._latest_objective(event.deadline_us),
-        )
-
-    def _latest_objective(self, deadline_us: int) -> int:
-        """Return the latest objective of a request: before its client gives up or this process is to end."""
-        margin_us = OBJECTIVE_MARGIN_TICKS * self._state.tick_us
+    def _answer_by(self, deadline_us: int) -> int:
+        """Return when an answer must leave: before its client gives up or this process is to end."""
+        margin_us = ANSWER_MARGIN_TICKS * self._state.tick_us
         return int(min(deadline_us, self._state.answers_due)) - margin_us
 
-    def limit_objectives(self, answers_due_us: int) -> None:
+    def limit_answers(self, answers_due_us: int) -> None:
         """Serve all open and later requests by ``answers_due_us``, in microseconds, or not at all."""
         self._state.answers_due = answers_due_us
         for request in self._queue.pending.values():
-            request.objective_at = min(request.objective_at, self._latest_objective(request.deadline_at))
+            request.answer_by = min(request.answer_by, self._answer_by(answers_due_us))
 
     def _may_wait(self, request: PendingRequest) -> bool:
         """Return whether a request may wait; otherwise it is sent in this batch or rejected at its end."""
--- a/gaugesail/policy/attempt_results.py
+++ b/gaugesail/policy/attempt_results.py
@@ -68,6 +68,7 @@
             node.latency_sums[request.class_position] += event.elapsed_us
             node.latency_counts[request.class_position] += 1
         if result is AttemptResult.SERVED:
+            node.service[request.class_position].record(event.elapsed_us)
             self._outliers.record_success(node, request)
             self._slow_start.record_served(node, request.sent_at, request.units)
             request.volume.reserve_units -= event.served_elsewhere_units
@@ -96,3 +97,5 @@
         never_sent = event.result is AttemptResult.NOT_STARTED
         if never_sent or not state.retry_policy.allows_attempt(request, state.now):
             self._queue.reject(request, RejectionReason.RETRY_NOT_ALLOWED)
+        elif state.now > request.latest_start(self._node_table.shards[request.shard].node):
+            self._queue.reject(request, RejectionReason.OUT_OF_TIME)
--- a/gaugesail/policy/dispatch.py
+++ b/gaugesail/policy/dispatch.py
@@ -2,7 +2,7 @@
 
 While the windows of a node allow it, the unblocked request with the highest rank is sent.  Requests are
 ranked by their priority in the recovery queue of the shard, if it has one, then by whether their class has a
-free slot, then by priority weight, then by the earlier objective.
+free slot, then by priority weight, then by the time that their clients have left.
 """
 
 from __future__ import annotations
@@ -95,7 +95,7 @@
                 tier = volume_tier(request)
                 queue_priority = self._recovery.priority(request) if is_ordered else 0
                 weight = priority_weight(state, request, node, tier)
-                rank = (queue_priority, has_slot, weight, -request.objective_at)
+                rank = (queue_priority, has_slot, weight, -request.answer_by)
                 if sendable[tier] and rank > best and not self._is_blocked(request, node, available_units):
                     best = rank
                     chosen = request
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -170,7 +170,7 @@
             case SettingsChanged():
                 self._update_settings(event.settings)
             case ShutdownStarted():
-                self._admission.limit_objectives(event.answers_due_us)
+                self._admission.limit_answers(event.answers_due_us)
             case QuotaChanged():
                 self.rate_limits.update_quota(self.state.now, event)
             case _:
--- a/gaugesail/policy/priority.py
+++ b/gaugesail/policy/priority.py
@@ -27,7 +27,7 @@
     """
     earliest_answer = state.now + EARLIEST_LATENCY_SHARE * node.latency_us[request.class_position]
     request_class = request.request_class
-    if earliest_answer > request.objective_at:
+    if earliest_answer > request.received_at + request.request_class.latency_objective_us:
         tier_weight = request_class.late_weight_share * state.tier_weights[BEYOND_SHARE]
     else:
         tier_weight = state.tier_weights[tier]
--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from .congestion_window import MAX_WINDOW
 from .gateway_state import GatewayState
 from .node_table import NodeTable
 from .priority import priority_weight, volume_tier
@@ -47,24 +46,29 @@
         now = self._state.now
         if shard.in_maintenance and not request.any_shard:
             return RejectionReason.IN_MAINTENANCE
-        if now >= request.reject_at:
-            return RejectionReason.OBJECTIVE_MISSED
+        if now > request.latest_start(shard.node):
+            return RejectionReason.OUT_OF_TIME
         if request.attempts and not self._state.retry_policy.allows_attempt(request, now):
             return RejectionReason.RETRY_NOT_ALLOWED
         return None
 
     def _overflow(self, shard: ShardRecord) -> list[PendingRequest]:
-        """Return the requests behind more others than can be sent before their objective (Little's law)."""
+        """Return the requests behind more others than can be sent before their latest start (Little's law).
+
+        Nothing is known of a node that has served none yet.
+        """
         node = shard.node
-        queue_length = sum(map(len, shard.waiting))
-        if node is None or queue_length <= MAX_WINDOW:
+        if node is None:
+            return []
+        means_us = [service.mean_us for service in node.service if service.mean_us]
+        if not means_us:
             return []
-        latency_us = sum(node.latency_us) / len(node.latency_us)
-        overflow = []
-        for ahead, (tier, request) in enumerate(self._by_priority(shard, node)):
-            time_left_us = max(0, request.objective_at - self._state.now)
-            sent_in_time = node.windows[tier] * (1 + time_left_us / latency_us)
-            if ahead > sent_in_time:
+        latency_us = sum(means_us) / len(means_us)
+        overflow: list[PendingRequest] = []
+        for position, (tier, request) in enumerate(self._by_priority(shard, node)):
+            time_left_us = max(0, request.latest_start(node) - self._state.now)
+            ahead = position - len(overflow)
+            if ahead > node.windows[tier] * time_left_us / latency_us:
                 overflow.append(request)
         return overflow
 
@@ -76,6 +80,6 @@
                 self._volumes.refill(request.volume)
                 tier = volume_tier(request)
                 weight = priority_weight(self._state, request, node, tier)
-                ranked.append((weight, -request.objective_at, -request.request_id, tier, request))
+                ranked.append((weight, -request.answer_by, -request.request_id, tier, request))
         ranked.sort(reverse=True)
         return [(tier, request) for _, _, _, tier, request in ranked]
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from .recovery_queue import QueuePriority
+from .service_time import ServiceTime
 from .settings import NodeId, Plan, RequestClass
 from .token_bucket import TokenBucket
 
@@ -17,10 +18,6 @@
 BEYOND_SHARE = 2
 TIERS = 3
 
-# Share of a request's time in which its first attempt must start; otherwise the request is rejected, so that
-# the rejection arrives before half of the time has passed.
-FIRST_START_SHARE = 0.4
-
 
 @dataclass(slots=True, eq=False)
 class VolumeBudget:
@@ -109,8 +106,7 @@
     any_shard: bool
     units: float
     received_at: int
-    objective_at: int
-    deadline_at: int
+    answer_by: int  # when its answer must leave: before the client gives up or this process is to end
     ordered_key: OrderedKey | None
     max_attempts: int  # by the settings in force when it was received
     attempts: int = 0
@@ -125,17 +121,13 @@
     timeouts: int = 0  # attempts that timed out, including those of the requests that this one retries
     queue_priority: QueuePriority = QueuePriority.NEW  # in the recovery queue of its shard
 
-    @property
-    def reject_at(self) -> int:
-        """When the request is rejected if it still waits, in microseconds.
+    def latest_start(self, node: NodeRecord | None) -> int:
+        """Return after which time, in microseconds, not even the fastest answer of a node comes in time.
 
-        That is at its objective or, without any attempt, before half of its time has passed: from then on a
-        rejection counts as a loss of part of its priority weight.
+        An attempt may start as long as the client can still be answered, whether others came before it or
+        not.  Of a node that has served none of the class nothing is known.
         """
-        if self.attempts:
-            return self.objective_at
-        latest = self.received_at + int(FIRST_START_SHARE * (self.deadline_at - self.received_at))
-        return min(self.objective_at, latest)
+        return self.answer_by - (0 if node is None else int(node.service[self.class_position].fastest_us))
 
 
 @dataclass(slots=True, eq=False)
@@ -148,6 +140,7 @@
     windows: list[float]  # congestion windows: requests in flight, by tier
     latency_us: list[float]  # smoothed, by class
     base_latency_us: list[float] = field(default_factory=list)  # lowest recent latency, by class
+    service: list[ServiceTime] = field(default_factory=list)  # of served attempts, by class
     ready: bool = True
     listed_as_ready: bool = True  # ready in the latest endpoint list, even if in maintenance
     listed_start_us: int = 0  # on discovery's clock
@@ -171,6 +164,7 @@
         self.latency_sums, self.latency_counts = [0.0] * count, [0] * count
         self.class_slots, self.class_in_flight = [0] * count, [0] * count
         self.base_latency_us = list(self.latency_us)
+        self.service = [ServiceTime() for _ in range(count)]
         self.paced_until = [0] * len(self.windows)
 
     def update_classes(self, old_targets_us: list[float], targets_us: list[float]) -> None:
@@ -182,6 +176,7 @@
             added = targets_us[len(self.latency_us) :]
             self.latency_us = self.latency_us + added
             self.base_latency_us = self.base_latency_us + added
+        self.service.extend(ServiceTime() for _ in range(len(targets_us) - len(self.service)))
         for counts in (self.latency_sums, self.latency_counts, self.class_slots, self.class_in_flight):
             counts.extend([0] * (len(targets_us) - len(counts)))
 
--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -18,7 +18,6 @@
 
 from .actions import WriteLog
 from .events import AttemptResult, RequestReceived
-from .first_requests import FirstRequests
 from .records import NodeRecord, PendingRequest
 from .recovery_queue import QueuePriority, RecoveryQueue
 from .rejections import NodeState, RejectionReason
@@ -64,7 +63,6 @@
         self.tickets = RetryTickets(rng.getrandbits(64))
         self.retry_after = RetryAfterPolicy(rng)
         self.shards: dict[int, ShardRecovery] = {}
-        self.first_requests = FirstRequests()
         self._capacity = ShardCapacity(settings, slow_start)
         self._period_ended_at = 0
         self.rejections: Counter[str] = Counter()  # by counter name, since the start
@@ -135,7 +133,6 @@
         return False
 
     def _attempt_served(self, now: int, request: PendingRequest) -> bool:
-        self.first_requests.remove(request.fingerprint)
         self._capacity.record_served(request.shard, request.units)
         recovery = self.shards.get(request.shard)
         if recovery is None:
@@ -216,21 +213,6 @@
 
     # ---- requests ----
 
-    def first_received_at(
-        self, received_at: int, request: RequestReceived, class_position: int, earliest: int
-    ) -> int:
-        """Return when the client of a request first sent it, as far as this can be determined.
-
-        A retry has only what is left of its class's time, so its first request was sent at ``earliest``.  A
-        first request may have less time too, if its client gives up early.
-
-        :param earliest: the deadline of the request less the full time of its class.
-        """
-        if self._settings.clients_mark_retries:
-            return min(received_at, earliest) if request.is_retry else received_at
-        fingerprint = self.tickets.fingerprint(request, class_position)
-        return self.first_requests.first_received_at(received_at, fingerprint, earliest)
-
     def request_received(self, now: int, request: PendingRequest, received: RequestReceived) -> None:
         """Assign a new request its priority in the recovery queue of its shard."""
         if not self._enabled or request.any_shard:
--- a/gaugesail/policy/rejections.py
+++ b/gaugesail/policy/rejections.py
@@ -13,8 +13,8 @@
     MAY_NOT_WAIT = "no_place"  # not sent at once: a retry before its turn, or a shard unavailable for long
     RETRY_NOT_ALLOWED = "no_repeat"  # an attempt failed, and another one is not allowed
     IN_MAINTENANCE = "away"  # the node of its shard is in maintenance
-    OBJECTIVE_MISSED = "aim"  # it waited until it was too late to start
-    QUEUE_TOO_LONG = "hopeless"  # the requests before it cannot all be sent before its objective
+    OUT_OF_TIME = "out_of_time"  # it waited until not even a fast answer would reach its client
+    QUEUE_TOO_LONG = "hopeless"  # the requests before it cannot all be sent in its client's time
 
 
 class NodeState(Enum):
--- a/gaugesail/policy/retry_policy.py
+++ b/gaugesail/policy/retry_policy.py
@@ -27,13 +27,13 @@
         return now + self.backoff_us
 
     def allows_attempt(self, request: PendingRequest, now: int) -> bool:
-        """Return whether a request may be attempted again now, apart from the retry budget."""
+        """Return whether a request may be attempted again now, apart from its time and the retry budget."""
         harmless = (
             request.possibly_executed_at is None
             or request.request_class.idempotency is Idempotency.IDEMPOTENT
             or now < self.deduplicated_until(request)
         )
-        return harmless and request.attempts < request.max_attempts and now < request.objective_at
+        return harmless and request.attempts < request.max_attempts
 
     def deduplicated_until(self, request: PendingRequest) -> int:
         """Return the time, in microseconds, before which an attempt must start to be deduplicated by nodes.
