Judge hanging nodes by their answers, and give up attempts by the clients' time

Seen by callers: with the same time left, a request beside hanging attempts went out after 0.06 to 4 s by its class's aim; an attempt was given up after 2.8 aims, though the node answered others as slowly, and a repeat's attempts lasted longer than a first try's; a shard that was away for four aims took no waiting request, one that was not let them all wait. Cause: STUCK_TARGETS, ATTEMPT_TIMEOUT_TARGETS, BACKOFF_SHARE, LONG_OUTAGE_OBJECTIVES and TICKS_PER_OBJECTIVE are shares of an aim. Change: a node hangs with an attempt at four times its mean answer, or, while it has served none, at the part of its client's time that each allowed attempt has. An attempt at such a node is given up at half of the time left, so that another one can have as much; the last one, and one after a time-out, has all of it. The pause after failures is that of docs/storms.md. A shard that is away is taken to be away for as long again: who has less time is refused at once, whoever that is. Time-outs are no longer handed from a request to its client's repeat.

--- a/gaugesail/policy/admission.py
+++ b/gaugesail/policy/admission.py
@@ -99,11 +99,6 @@
 
     def _may_wait(self, request: PendingRequest) -> bool:
         """Return whether a request may wait; otherwise it is sent in this batch or rejected at its end."""
-        if self._recovery.unavailable_for_long(self._state.now, request.shard):
-            # A single request may wait: it is the next trial of the failing node.
-            shard = self._node_table.shards[request.shard]
-            node = shard.node
-            return node is not None and not any(shard.waiting) and not node.in_flight
         return request.queue_priority >= QueuePriority.NEW
 
     def end_batch(self) -> None:
--- a/gaugesail/policy/dispatch.py
+++ b/gaugesail/policy/dispatch.py
@@ -12,7 +12,7 @@
 from .actions import StartAttempt
 from .gateway_state import GatewayState
 from .ordered_keys import OrderedKeys
-from .outlier_detection import OutlierDetector
+from .outlier_detection import OutlierDetector, hang_us
 from .priority import priority_weight, volume_tier
 from .records import TIERS, NodeRecord, PendingRequest, ShardRecord
 from .recovery import RecoveryRamp
@@ -127,9 +127,7 @@
         state = self._state
         shard.waiting[request.class_position].remove(request)
         self._recovery.request_dequeued(request)
-        timeout_us = state.retry_policy.attempt_timeout_us(
-            request, state.latency_targets_us[request.class_position], self._recovery.timeout_factor(request)
-        )
+        timeout_us = state.retry_policy.attempt_timeout_us(request, state.now, hang_us(node, request))
         if request.attempts == 0:
             self._volumes.spend(request)
         else:
--- a/gaugesail/policy/gateway_state.py
+++ b/gaugesail/policy/gateway_state.py
@@ -13,7 +13,7 @@
 TARGET_SHARE = 0.7  # latency target of an attempt as a share of the objective; the rest is for queueing
 # The time between two queue checks has these limits, unless ``Settings.tick_us`` is longer.
 MAX_TICK_US = 10_000
-TICKS_PER_OBJECTIVE = 16  # at least this many in the shortest latency objective
+TICKS_PER_DEADLINE = 64  # at least this many in the time of the clients that wait the shortest
 
 
 class GatewayState:
@@ -41,8 +41,8 @@
     def update_settings(self, settings: Settings) -> None:
         """Replace the settings."""
         self.settings = settings
-        shortest = min(request_class.latency_objective_us for request_class in settings.classes)
-        self.tick_us = max(settings.tick_us, min(MAX_TICK_US, shortest // TICKS_PER_OBJECTIVE))
+        shortest = min(request_class.deadline_us for request_class in settings.classes)
+        self.tick_us = max(settings.tick_us, min(MAX_TICK_US, shortest // TICKS_PER_DEADLINE))
         self.tier_weights = (1.0, settings.fair_share_weight, settings.beyond_share_weight)
         self.retry_policy = RetryPolicy(backoff_us=self.tick_us, deduplication_margin_us=self.tick_us)
         self._update_classes(settings)
--- a/gaugesail/policy/outlier_detection.py
+++ b/gaugesail/policy/outlier_detection.py
@@ -1,7 +1,8 @@
 """Outlier detection: which attempts count against a node, and how few requests a failing node is sent.
 
 A node with consecutive failures, or one that hangs, gets one request at a time.  After any failure other
-than a reported error or a first reset, it gets none for a backoff that doubles with each failure.
+than a reported error or a first reset, it gets none for a backoff that doubles with each failure
+(docs/storms.md).
 """
 
 from __future__ import annotations
@@ -9,12 +10,9 @@
 from .events import AttemptEnded, AttemptResult
 from .gateway_state import GatewayState
 from .records import NodeRecord, PendingRequest
+from .shard_health import FIRST_TRIAL_WAIT_US, LONGEST_TRIAL_WAIT_US
 
-# An attempt is stuck after this many times its latency target; a timeout is the node's fault after this many
-# times the node's smoothed latency.
-STUCK_TARGETS = 2.0
-BACKOFF_SHARE = 0.0625  # of the shortest latency target: the backoff before its doublings, one per failure
-MAX_BACKOFF_DOUBLINGS = 6
+HANG_ANSWERS = 4.0  # times its mean answer, after which a node hangs; most requests differ in size by less
 FIRST_RESET_WEIGHT = 0.5  # failures that a first reset counts as: mostly a fault of that connection alone
 
 # Results after which the request may have been executed.
@@ -30,13 +28,19 @@
 NEUTRAL = (AttemptResult.NOT_STARTED, AttemptResult.CANCELLED)
 
 
-def is_cut_short(node: NodeRecord, request: PendingRequest, event: AttemptEnded) -> bool:
-    """Return whether a timeout is not the node's fault, as its client gave up too early.
+def hang_us(node: NodeRecord, request: PendingRequest) -> float:
+    """Return after how many microseconds with an attempt of a request a node hangs.
 
-    That is before ``STUCK_TARGETS`` times the node's smoothed latency.
+    That follows from what it takes for the class.  One that has served none is given the part of its
+    clients' time that each of the allowed attempts has.
     """
-    allowed_us = STUCK_TARGETS * node.latency_us[request.class_position]
-    return event.result is AttemptResult.TIMEOUT and event.elapsed_us < allowed_us
+    mean_us = node.service[request.class_position].mean_us
+    return HANG_ANSWERS * mean_us if mean_us else request.request_class.deadline_us / request.max_attempts
+
+
+def is_cut_short(node: NodeRecord, request: PendingRequest, event: AttemptEnded) -> bool:
+    """Return whether a timeout is not the node's fault, as its client gave up before the node hung."""
+    return event.result is AttemptResult.TIMEOUT and event.elapsed_us < hang_us(node, request)
 
 
 def is_isolated_loss(node: NodeRecord, request: PendingRequest, result: AttemptResult) -> bool:
@@ -67,21 +71,14 @@
             node.backoff_until = max(node.backoff_until, self._state.now + self._backoff_us(node))
 
     def _backoff_us(self, node: NodeRecord) -> int:
-        return int(
-            min(self._state.latency_targets_us)
-            * BACKOFF_SHARE
-            * 2 ** min(node.consecutive_failures, MAX_BACKOFF_DOUBLINGS)
-            * (0.5 + self._state.random.random())
-        )
+        doubled_us = FIRST_TRIAL_WAIT_US * 2 ** max(0.0, node.consecutive_failures - 1)
+        return int(min(LONGEST_TRIAL_WAIT_US, doubled_us) * (0.75 + 0.5 * self._state.random.random()))
 
     def stuck_requests(self, node: NodeRecord) -> list[PendingRequest]:
-        """Return the requests in flight at a node for over ``STUCK_TARGETS`` times their latency target."""
+        """Return the requests that a node has been holding for so long that it hangs with them."""
         now = self._state.now
-        targets = self._state.latency_targets_us
         return [
-            request
-            for request in node.in_flight.values()
-            if now - request.sent_at > STUCK_TARGETS * targets[request.class_position]
+            request for request in node.in_flight.values() if now - request.sent_at > hang_us(node, request)
         ]
 
     def is_limited_to_one(self, node: NodeRecord, stuck: list[PendingRequest]) -> bool:
--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -9,6 +9,7 @@
 from .node_table import NodeTable
 from .priority import priority_weight, volume_tier
 from .records import NodeRecord, PendingRequest, ShardRecord
+from .recovery import RecoveryRamp
 from .rejections import RejectionReason
 from .request_queue import RequestQueue
 from .volume_table import VolumeTable
@@ -18,18 +19,25 @@
     """Checks the queues of one gateway."""
 
     def __init__(
-        self, state: GatewayState, node_table: NodeTable, queue: RequestQueue, volumes: VolumeTable
+        self,
+        state: GatewayState,
+        node_table: NodeTable,
+        queue: RequestQueue,
+        volumes: VolumeTable,
+        recovery: RecoveryRamp,
     ) -> None:
         self._state = state
         self._node_table = node_table
         self._queue = queue
         self._volumes = volumes
+        self._recovery = recovery
 
     def run(self) -> None:
         """Reject the requests that cannot be served in time; move those that another shard may serve."""
         for number, shard in list(self._node_table.shards.items()):
             for request in [request for waiting in shard.waiting for request in waiting]:
                 self._check(request, shard)
+            self._reject_in_outage(number, shard)
             for request in self._overflow(shard):
                 self._queue.reject(request, RejectionReason.QUEUE_TOO_LONG)
             if any(shard.waiting):
@@ -52,6 +60,23 @@
             return RejectionReason.RETRY_NOT_ALLOWED
         return None
 
+    def _reject_in_outage(self, number: int, shard: ShardRecord) -> None:
+        """Reject the requests whose time is over before their unavailable shard is expected to return.
+
+        The first in order stays: it is the next trial of a failing node.
+        """
+        now = self._state.now
+        outage_us = self._recovery.outage_us(now, number)
+        if not outage_us:
+            return
+        waiting = [request for requests in shard.waiting for request in requests]
+        if shard.node is not None:
+            waiting.sort(key=lambda request: request.answer_by)
+            waiting = waiting[1:]
+        for request in waiting:
+            if now + outage_us > request.latest_start(shard.node) and not request.any_shard:
+                self._queue.reject(request, RejectionReason.UNAVAILABLE)
+
     def _overflow(self, shard: ShardRecord) -> list[PendingRequest]:
         """Return the requests behind more others than can be sent before their latest start (Little's law).
 
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -118,7 +118,7 @@
     possibly_executed_at: int | None = None  # when the first possibly executed attempt was sent
     possibly_executed_zone: int = 0
     fingerprint: int = 0  # of its content (retry_tickets.py)
-    timeouts: int = 0  # attempts that timed out, including those of the requests that this one retries
+    timed_out: bool = False  # an attempt of it has
     queue_priority: QueuePriority = QueuePriority.NEW  # in the recovery queue of its shard
 
     def latest_start(self, node: NodeRecord | None) -> int:
--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -29,14 +29,11 @@
 from .shard_recovery import ShardRecovery
 from .slow_start import SlowStart
 
-# In longest latency objectives; a shard that is unavailable for longer is unlikely to return in another one.
-LONG_OUTAGE_OBJECTIVES = 4.0
 LOST_TICKET_US = 1_000_000  # overdue by this, or twice the longest Retry-After if longer: no retry expected
 # While a shard returns (``is_returning``), its node's windows aim at this share of the way from the lowest
 # latency to the target.
 RETURNING_LATENCY_SHARE = 0.35
 RETURNING_IN_FLIGHT = 4.0  # requests in flight at its node then, from all gateways together
-MAX_TIMEOUT_DOUBLINGS = 3
 SMALLEST_WEIGHT = 1e-3  # of a flow, so that every flow is served
 
 
@@ -74,8 +71,6 @@
         self._enabled = settings.recovery_queue
         self._capacity.update_settings(settings)
         self.retry_after.update_longest(settings.longest_retry_after_us)
-        longest_objective_us = max(request_class.latency_objective_us for request_class in settings.classes)
-        self._long_outage_us = int(LONG_OUTAGE_OBJECTIVES * longest_objective_us)
         self._weights = {
             (plan.name, request_class.name): max(
                 SMALLEST_WEIGHT, plan.priority_weight * request_class.priority_weight
@@ -120,7 +115,7 @@
         :param excused: the failure is not the node's fault and does not count as evidence against it.
         """
         if result is AttemptResult.TIMEOUT:
-            request.timeouts = min(MAX_TIMEOUT_DOUBLINGS, request.timeouts + 1)
+            request.timed_out = True
         if result is AttemptResult.SERVED:
             return self._attempt_served(now, request)
         points = FAILURE_POINTS.get(result, 0)
@@ -151,13 +146,6 @@
 
     # ---- what may be sent ----
 
-    def timeout_factor(self, request: PendingRequest) -> int:
-        """Return the multiplier of an attempt's timeout; it doubles with each attempt that timed out.
-
-        With an unchanged timeout, retries of a request that takes longer would only waste the node's time.
-        """
-        return 1 << request.timeouts
-
     def is_contended(self, shard: int) -> bool:
         """Return whether this gateway's queue has ordered requests since the shard became unavailable.
 
@@ -194,12 +182,15 @@
         recovery = self.shards.get(shard)
         return recovery is None or recovery.health.trial_allowed(now, in_flight)
 
-    def unavailable_for_long(self, now: int, shard: int) -> bool:
-        """Return whether a shard is unavailable for so long that waiting requests will likely be late."""
+    def outage_us(self, now: int, shard: int) -> int:
+        """Return for how long a shard has been unavailable, in microseconds; 0: it is available.
+
+        Nothing tells when it returns; it is taken to be away for as long again as it has been.
+        """
         recovery = self.shards.get(shard)
         if recovery is None or not recovery.health.is_unavailable:
-            return False
-        return now - recovery.health.phase_since > self._long_outage_us
+            return 0
+        return now - recovery.health.phase_since
 
     def update_capacity(self, now: int, shard: int, node: NodeRecord | None, process_count: int) -> None:
         """Advance a shard's queue to ``now`` and update the capacity that it has from its node."""
@@ -219,8 +210,6 @@
             return
         request.fingerprint = self.tickets.fingerprint(received, request.class_position)
         ticket = self.tickets.find(request.fingerprint)
-        if ticket is not None:
-            request.timeouts = ticket.timeouts
         recovery = self.shards.get(request.shard)
         if recovery is None:
             return
@@ -254,7 +243,7 @@
             return self.retry_after.longest_us
         recovery = self.shards.get(request.shard)
         if recovery is None or request.any_shard or recovery.health.phase is ShardPhase.SERVING:
-            return self._reject_unqueued(now, request)
+            return self.retry_after.spread(now)
         if recovery.storm is not None:
             recovery.storm.rejected += 1
         ticket = self.tickets.find(request.fingerprint)
@@ -263,18 +252,9 @@
         wait_us = self.retry_after.for_ticket(now, recovery.health, recovery.queue, ticket)
         ticket.retry_after_us = wait_us
         ticket.retry_at = now + wait_us
-        ticket.timeouts = request.timeouts
         self._keep(ticket)
         return wait_us
 
-    def _reject_unqueued(self, now: int, request: PendingRequest) -> int:
-        """Return the Retry-After time where no queue is needed; a ticket then only keeps the timeouts."""
-        wait_us = self.retry_after.spread(now)
-        if request.timeouts:
-            fingerprint, shard, timeouts = request.fingerprint, request.shard, request.timeouts
-            self._keep(RetryTicket(fingerprint, shard, None, 0.0, 0.0, now + wait_us, wait_us, now, timeouts))
-        return wait_us
-
     def count_rejection(self, reason: RejectionReason, node_state: NodeState) -> None:
         """Count a rejection for operators, as ``refused_<reason>_<node_state>``."""
         self.rejections[f"refused_{reason.value}_{node_state.value}"] += 1
--- a/gaugesail/policy/retry_policy.py
+++ b/gaugesail/policy/retry_policy.py
@@ -12,8 +12,6 @@
 from .records import PendingRequest
 from .settings import DeduplicationScope, Idempotency
 
-ATTEMPT_TIMEOUT_TARGETS = 4.0  # latency targets after which an attempt of an idempotent request times out
-
 
 @dataclass(slots=True, frozen=True)
 class RetryPolicy:
@@ -59,15 +57,18 @@
         keyed = request_class.idempotency is Idempotency.KEYED
         return keyed and request_class.deduplication_scope is DeduplicationScope.ALL
 
-    def attempt_timeout_us(self, request: PendingRequest, target_us: float, factor: int) -> int:
+    def attempt_timeout_us(self, request: PendingRequest, now: int, hang_us: float) -> int:
         """Return the timeout of one attempt, in microseconds; 0: until the client gives up.
 
-        Only idempotent requests have a timeout: after it, others could be attempted again only while nodes
-        drop duplicates, or never.
+        An attempt at a node that hangs is given up while another one can have as much time as it had.  That
+        needs a request that may be executed again and has an attempt left.  One whose attempt has timed out
+        may need longer than half of its time: the next attempt has all that is left.
 
-        :param target_us: the latency target of the request's class.
-        :param factor: the multiplier for earlier timeouts of the same request.
+        :param hang_us: after which the node hangs; an attempt that has less time is no sign of that.
         """
-        if request.request_class.idempotency is not Idempotency.IDEMPOTENT:
+        idempotent = request.request_class.idempotency is Idempotency.IDEMPOTENT
+        is_last = request.attempts + 1 >= request.max_attempts
+        half_us = (request.answer_by - now) // 2
+        if not idempotent or is_last or request.timed_out or half_us < hang_us:
             return 0
-        return int(ATTEMPT_TIMEOUT_TARGETS * factor * target_us)
+        return half_us
--- a/gaugesail/policy/retry_tickets.py
+++ b/gaugesail/policy/retry_tickets.py
@@ -31,7 +31,6 @@
     retry_at: int  # when the client should retry
     retry_after_us: int  # the Retry-After time of its latest rejection
     first_rejected_at: int
-    timeouts: int = 0  # attempts that timed out
 
 
 class RetryTickets:
