Serve first tries, repeats and further attempts of a returning shard alike

Seen by callers: at a shard with a recovery queue a client that came back before its turn was refused unless a place was free in that very moment, however long it would wait; repeats at their turn went before first tries, other repeats and the gateway's further attempts after them. Cause: QueuePriority ranked requests by whether they repeat an operation; Admission._may_wait let only some of them wait. Change: the recovery queue tells turns (Retry-After) and how fast they come; it orders nothing. What waits goes by its time. Test: in test_time_left, 24 repeats and first tries and a further attempt leave by the time they have left; it fails before.

--- a/gaugesail/policy/admission.py
+++ b/gaugesail/policy/admission.py
@@ -1,4 +1,4 @@
-"""Admission of new requests: each one is queued for a node, sent at once, or rejected at once."""
+"""Admission of new requests: each one is queued for its node, or rejected at once."""
 
 from __future__ import annotations
 
@@ -9,7 +9,6 @@
 from .ordered_keys import OrderedKeys
 from .records import PendingRequest
 from .recovery import RecoveryRamp
-from .recovery_queue import QueuePriority
 from .rejections import NodeState, RejectionReason
 from .request_queue import RequestQueue
 from .retry_budget import RetryBudget
@@ -38,7 +37,6 @@
         self._volumes = volumes
         self._retry_budget = retry_budget
         self._recovery = recovery
-        self._not_waiting: list[PendingRequest] = []  # of this batch: rejected at its end unless sent
 
     def receive(self, event: RequestReceived) -> None:
         """Queue a new request for the node of its shard, or reject it at once."""
@@ -52,8 +50,6 @@
         request = self._open(event)
         self._node_table.shards[request.shard].arrivals[request.class_position] += 1
         self._recovery.request_received(state.now, request, event)
-        if not self._may_wait(request):
-            self._not_waiting.append(request)
         self._queue.enqueue(request)
         node = self._node_table.shards[request.shard].node
         if request.latest_start(node) <= state.now + state.tick_us:
@@ -96,15 +92,3 @@
         self._state.answers_due = answers_due_us
         for request in self._queue.pending.values():
             request.answer_by = min(request.answer_by, self._answer_by(answers_due_us))
-
-    def _may_wait(self, request: PendingRequest) -> bool:
-        """Return whether a request may wait; otherwise it is sent in this batch or rejected at its end."""
-        return request.queue_priority >= QueuePriority.NEW
-
-    def end_batch(self) -> None:
-        """Reject the requests of this batch that may not wait and have not been sent."""
-        requests = self._not_waiting
-        self._not_waiting = []
-        for request in requests:
-            if not (request.in_flight or request.finished or request.attempts):
-                self._queue.reject(request, RejectionReason.MAY_NOT_WAIT)
--- a/gaugesail/policy/dispatch.py
+++ b/gaugesail/policy/dispatch.py
@@ -1,8 +1,8 @@
 """Which waiting request is sent to a node next.
 
 While the windows of a node allow it, the unblocked request with the highest rank is sent.  Requests are
-ranked by their priority in the recovery queue of the shard, if it has one, then by whether their class has a
-free slot, then by priority weight, then by the time that their clients have left.
+ranked by whether their class has a free slot, then by priority weight, then by the time that their clients
+have left.
 """
 
 from __future__ import annotations
@@ -22,9 +22,9 @@
 from .volume_table import VolumeTable
 
 if TYPE_CHECKING:
-    Rank = tuple[int, bool, float, float]
+    Rank = tuple[bool, float, float]
 
-LOWEST_RANK: Rank = (-2, False, -1.0, 0)  # below the rank of any request
+LOWEST_RANK: Rank = (False, -1.0, 0)  # below the rank of any request
 
 
 class Dispatcher:
@@ -85,7 +85,6 @@
     ) -> PendingRequest | None:
         """Return the request with the highest rank that may be sent to the node, or None."""
         state = self._state
-        is_ordered = self._recovery.ordering_queue(node.shard) is not None
         best = LOWEST_RANK
         chosen = None
         for position, waiting in enumerate(shard.waiting):
@@ -93,9 +92,8 @@
             for request in waiting:
                 self._volumes.refill(request.volume)
                 tier = volume_tier(request)
-                queue_priority = self._recovery.priority(request) if is_ordered else 0
                 weight = priority_weight(state, request, node, tier)
-                rank = (queue_priority, has_slot, weight, -request.answer_by)
+                rank = (has_slot, weight, -request.answer_by)
                 if sendable[tier] and rank > best and not self._is_blocked(request, node, available_units):
                     best = rank
                     chosen = request
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -137,7 +137,6 @@
             self.recovery.update_capacity(now, number, shard.node, state.process_count)
             self.dispatcher.dispatch(shard)
             self.dispatcher.grant_spare_share(shard)
-        self._admission.end_batch()
         self.ordered_keys.grant_changed()
         self._schedule_queue_check()
         actions = state.actions
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from .recovery_queue import QueuePriority
+from .recovery_queue import Arrival
 from .service_time import ServiceTime
 from .settings import NodeId, Plan, RequestClass
 from .token_bucket import TokenBucket
@@ -119,7 +119,7 @@
     possibly_executed_zone: int = 0
     fingerprint: int = 0  # of its content (retry_tickets.py)
     timed_out: bool = False  # an attempt of it has
-    queue_priority: QueuePriority = QueuePriority.NEW  # in the recovery queue of its shard
+    arrival: Arrival = Arrival.WITHOUT_TICKET  # by the recovery queue of its shard
 
     def latest_start(self, node: NodeRecord | None) -> int:
         """Return after which time, in microseconds, not even the fastest answer of a node comes in time.
--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -19,7 +19,7 @@
 from .actions import WriteLog
 from .events import AttemptResult, RequestReceived
 from .records import NodeRecord, PendingRequest
-from .recovery_queue import QueuePriority, RecoveryQueue
+from .recovery_queue import Arrival, RecoveryQueue
 from .rejections import NodeState, RejectionReason
 from .retry_after import RetryAfterPolicy
 from .retry_tickets import RetryTicket, RetryTickets
@@ -147,7 +147,7 @@
     # ---- what may be sent ----
 
     def is_contended(self, shard: int) -> bool:
-        """Return whether this gateway's queue has ordered requests since the shard became unavailable.
+        """Return whether this gateway's queue has been long since the shard became unavailable.
 
         All gateways are then assumed to have more to send than their shares, so that none leaves any unused.
         """
@@ -170,13 +170,6 @@
         even_share = RETURNING_IN_FLIGHT / self._settings.gateway_count
         return WindowBounds(max(1.0, min(ceiling, even_share)), RETURNING_LATENCY_SHARE)
 
-    def ordering_queue(self, shard: int) -> RecoveryQueue | None:
-        """Return the recovery queue of a shard if requests are sent in its order, or None."""
-        recovery = self.shards.get(shard)
-        if recovery is None or not recovery.queue.orders_requests:
-            return None
-        return recovery.queue
-
     def may_send(self, now: int, shard: int, in_flight: int) -> bool:
         """Return whether the shard's health allows an attempt beside the ``in_flight`` ones."""
         recovery = self.shards.get(shard)
@@ -205,7 +198,7 @@
     # ---- requests ----
 
     def request_received(self, now: int, request: PendingRequest, received: RequestReceived) -> None:
-        """Assign a new request its priority in the recovery queue of its shard."""
+        """Record a new request, and whether it is the retry that a ticket of its shard awaits."""
         if not self._enabled or request.any_shard:
             return
         request.fingerprint = self.tickets.fingerprint(received, request.class_position)
@@ -215,21 +208,17 @@
             return
         marked = self._settings.clients_mark_retries
         if received.is_retry if marked else ticket is not None:
-            request.queue_priority = recovery.retry_received(now, request.units, ticket)
+            request.arrival = recovery.retry_received(now, request.units, ticket)
         else:
             recovery.queue.new_units += request.units
 
     def request_dequeued(self, request: PendingRequest) -> None:
         """Record that a request no longer waits, as it was sent or has its final answer."""
-        if request.queue_priority == QueuePriority.DUE_RETRY:
+        if request.arrival is Arrival.DUE:
             recovery = self.shards.get(request.shard)
             if recovery is not None:
                 recovery.queue.remove_due(request.units)
-        request.queue_priority = QueuePriority.NEW
-
-    def priority(self, request: PendingRequest) -> int:
-        """Return the priority of a request under an ordering queue; the gateway's own retries rank last."""
-        return request.queue_priority if not request.attempts else QueuePriority.EARLY_RETRY - 1
+        request.arrival = Arrival.WITHOUT_TICKET
 
     def record_rejection(
         self, now: int, request: PendingRequest, reason: RejectionReason, node: NodeRecord | None
@@ -247,7 +236,7 @@
         if recovery.storm is not None:
             recovery.storm.rejected += 1
         ticket = self.tickets.find(request.fingerprint)
-        if ticket is None or request.queue_priority == QueuePriority.EARLY_RETRY:
+        if ticket is None or request.arrival is Arrival.EARLY:
             ticket = self._new_ticket(recovery.queue, now, request, ticket)
         wait_us = self.retry_after.for_ticket(now, recovery.health, recovery.queue, ticket)
         ticket.retry_after_us = wait_us
@@ -276,7 +265,7 @@
             self._leave_queue(self.tickets.drop(old.fingerprint))
         flow_key = request.volume.plan.name, request.request_class.name
         tag = queue.enter(flow_key, self._weights.get(flow_key, 1.0), request.units)
-        queue.contended = queue.contended or queue.orders_requests
+        queue.contended = queue.contended or queue.is_long
         first_rejected_at = old.first_rejected_at if old is not None else now
         return RetryTicket(
             request.fingerprint, request.shard, flow_key, request.units, tag, now, 0, first_rejected_at
--- a/gaugesail/policy/recovery_queue.py
+++ b/gaugesail/policy/recovery_queue.py
@@ -9,23 +9,26 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import Enum
 
 from .retry_tickets import RetryTicket
 
 MAX_NEW_SHARE = 0.75  # of the capacity: the most that is reserved for new requests
 NEW_RATE_SMOOTHING = 0.3  # weight of the latest control period in the rate of new requests
 DUE_BACKLOG_S = 0.25  # seconds of capacity; with more due retries waiting, the queue does not advance
-ORDERING_TICKETS = 8  # with this many tickets or more, requests are sent in the order of the queue
+LONG_QUEUE_TICKETS = 8  # with this many tickets or more, every gateway has more to send than its share
 
 
-class QueuePriority(IntEnum):
-    """The priority of a request among those that wait for its shard; the highest is sent first."""
+class Arrival(Enum):
+    """When a request came, by the ticket of its operation; it is served like any other.
 
-    EARLY_RETRY = 0  # received before its Retry-After time
-    RETRY = 1  # received in time, but before its turn
-    NEW = 2
-    DUE_RETRY = 3  # received in time and at its turn
+    Only the next Retry-After time depends on it, and how fast the queue advances.
+    """
+
+    WITHOUT_TICKET = "without_ticket"
+    EARLY = "early"  # before its Retry-After time
+    BEFORE_TURN = "before_turn"  # in time, but before its turn
+    DUE = "due"  # in time and at its turn
 
 
 @dataclass(slots=True, eq=False)
@@ -51,12 +54,12 @@
     capacity_per_s: float = 0.0  # units per second that this gateway may send
     new_per_s: float = 0.0  # units per second of new requests, smoothed
     new_units: float = 0.0  # units of new requests since the last control period
-    contended: bool = False  # it has ordered requests since the shard became unavailable
+    contended: bool = False  # it has been long since the shard became unavailable
 
     @property
-    def orders_requests(self) -> bool:
-        """Whether so many clients may retry that requests are sent in the order of the queue."""
-        return self.ticket_count >= ORDERING_TICKETS
+    def is_long(self) -> bool:
+        """Whether so many clients may retry that every gateway has more to send than its share."""
+        return self.ticket_count >= LONG_QUEUE_TICKETS
 
     @property
     def retry_rate(self) -> float:
--- a/gaugesail/policy/rejections.py
+++ b/gaugesail/policy/rejections.py
@@ -10,7 +10,6 @@
 
     UNLISTED_SHARD = "unlisted"  # no endpoint list has contained its shard
     TOO_LATE = "too_late"  # less than a tick was left when it was received
-    MAY_NOT_WAIT = "no_place"  # not sent at once: a retry before its turn
     UNAVAILABLE = "unavailable"  # its shard has been away for longer than its client still waits
     RETRY_NOT_ALLOWED = "no_repeat"  # an attempt failed, and another one is not allowed
     IN_MAINTENANCE = "away"  # the node of its shard is in maintenance
--- a/gaugesail/policy/shard_recovery.py
+++ b/gaugesail/policy/shard_recovery.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from .actions import WriteLog
-from .recovery_queue import ORDERING_TICKETS, QueuePriority, RecoveryQueue
+from .recovery_queue import LONG_QUEUE_TICKETS, Arrival, RecoveryQueue
 from .retry_storm import LONGEST_RECOVERY_US, RetryStorm, storm_begins
 from .retry_tickets import RetryTicket
 from .shard_health import ShardHealth, ShardPhase
@@ -13,7 +13,7 @@
 EARLY_SHARE = 0.05  # tolerance for early retries, as a share of the Retry-After time
 EARLY_SLACK_US = 5_000  # smallest tolerance for early retries
 SHORTEST_RECOVERY_US = 5_000_000  # at full capacity, before recovery ends with a nearly empty queue
-LOW_TICKETS = ORDERING_TICKETS // 2  # a queue with fewer tickets is nearly empty
+LOW_TICKETS = LONG_QUEUE_TICKETS // 2  # a queue with fewer tickets is nearly empty
 
 
 @dataclass(slots=True, eq=False)
@@ -29,20 +29,20 @@
         self.queue.advance(now)
         self.health.enter(phase, now, reason)
 
-    def retry_received(self, now: int, units: float, ticket: RetryTicket | None) -> QueuePriority:
-        """Count a received retry of ``units`` and return its priority; without a ticket it is not due."""
+    def retry_received(self, now: int, units: float, ticket: RetryTicket | None) -> Arrival:
+        """Count a received retry of ``units`` and return when it came, by its ticket."""
         if self.storm is not None:
             self.storm.returned += 1
         if ticket is None:
-            return QueuePriority.RETRY
+            return Arrival.WITHOUT_TICKET
         if ticket.retry_at - now > max(EARLY_SLACK_US, EARLY_SHARE * ticket.retry_after_us):
             if self.storm is not None:
                 self.storm.early += 1
-            return QueuePriority.EARLY_RETRY
+            return Arrival.EARLY
         if ticket.tag > self.queue.progress:
-            return QueuePriority.RETRY
+            return Arrival.BEFORE_TURN
         self.queue.add_due(units)
-        return QueuePriority.DUE_RETRY
+        return Arrival.DUE
 
     def update_storm(self, now: int, served_per_s: float) -> list[WriteLog]:
         """Begin, update or end a retry storm; return its log lines.
--- a/tests/policy/test_time_left.py
+++ b/tests/policy/test_time_left.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, replace
 from enum import Enum
 
 import pytest
 
 from gaugesail.policy.actions import RejectRequest
-from gaugesail.policy.events import AttemptResult
+from gaugesail.policy.events import AttemptResult, EndpointState
 
 from ..support import gateway_driver
 from ..support.gateway_driver import SEC
@@ -130,3 +131,32 @@
         deadline_after_us=SEC // FASTEST_SHARE, is_retry=kind is Kind.MARKED, **OPERATION
     )
     assert isinstance(driver.answers[number], RejectRequest)
+
+
+def test_first_tries_repeats_and_attempts_at_a_returning_shard_go_by_the_time_they_have_left() -> None:
+    driver = driver_of(500_000, Kind.MARKED)
+    node = driver.gateway.nodes[gateway_driver.node_id(0)]
+    driver.list_nodes([(0, EndpointState.GONE, 0)])
+    driver.pass_time(2 * SEC)
+    for number in range(20):  # turned away, so that all of them have a turn in a long recovery queue
+        driver.send_request(deadline_after_us=SEC, volume_id=number, key=number + 1)
+    driver.pass_time(20_000)
+    assert len(driver.answers) == 20
+    driver.list_nodes([(0, EndpointState.READY, 0)])
+    attempted = driver.send_request(deadline_after_us=900_000, volume_id=50, key=50)
+    fillers = [driver.send_request(deadline_after_us=60 * SEC, volume_id=60, key=n) for n in range(3)]
+    left = random.Random(5).sample(range(200_000, 800_000, 10_000), 24)
+    numbers = {
+        driver.send_request(deadline_after_us=us, is_retry=n % 2 == 0, volume_id=n % 30, key=n % 30 + 1): us
+        for n, us in enumerate(left)
+    }
+    driver.end_attempt((fillers[0], 0))
+    driver.end_attempt((attempted, 0), AttemptResult.RESET)
+    numbers[attempted] = 900_000
+    sent_before = len(driver.started)
+    while set(numbers) & set(driver.gateway.pending):
+        driver.pass_time(1_000)
+        node.windows = [4.0] * len(node.windows)
+        driver.end_attempt(next(iter(driver.in_flight)))
+    sent = [numbers[start.request_id] for start in driver.started[sent_before:]]
+    assert sent == sorted(sent) and len(sent) >= 20
