Order by reserve, share weight and time left, with one window a node; prices decide nothing

Seen by callers: who was served first, how many of a volume's requests might be out, and whose turn in a recovery queue came first followed from gain, pays, late_share, fair_worth and beyond_share; a request that would miss its aim went last though its client still waited; beyond its reserve a volume had twice its rate, whatever its share weight. Cause: priority_weight ranked by prices, tier_weights gave each tier a window of its own with a lower goal. One window a host and node, as DESIGN has it. The queue ahead is judged in the very order of service. Turns in a recovery queue go by parts.

--- a/gaugesail/policy/attempt_results.py
+++ b/gaugesail/policy/attempt_results.py
@@ -8,7 +8,7 @@
 from .node_table import NodeTable
 from .ordered_keys import OrderedKeys
 from .outlier_detection import POSSIBLY_EXECUTED, OutlierDetector, is_cut_short, is_isolated_loss
-from .records import TIERS, NodeRecord, PendingRequest
+from .records import NodeRecord, PendingRequest
 from .recovery import RecoveryRamp
 from .rejections import RejectionReason
 from .request_queue import RequestQueue
@@ -60,7 +60,7 @@
         cut_short = is_cut_short(node, request, event)
         excused = cut_short or is_isolated_loss(node, request, result)
         if self._recovery.attempt_ended(self._state.now, request, result, excused):
-            node.windows = [SLOW_START_WINDOW] * TIERS
+            node.window = SLOW_START_WINDOW
         node.class_in_flight[request.class_position] -= 1
         self._pace(node, event.elapsed_us)
         # A timed-out attempt took at least this long.
@@ -76,12 +76,12 @@
             self._outliers.record_failure(node, result)
 
     def _pace(self, node: NodeRecord, elapsed_us: int) -> None:
-        """Pause sending after an attempt where a window is below one request.
+        """Pause sending after an attempt where the window is below one request.
 
         By Little's law, the attempt and the pause together keep the window in flight on average.
         """
         now = self._state.now
-        node.paced_until = [now + int(elapsed_us * max(0.0, 1 / window - 1)) for window in node.windows]
+        node.paced_until = now + int(elapsed_us * max(0.0, 1 / node.window - 1))
 
     def _continue(self, request: PendingRequest, event: AttemptEnded) -> None:
         """Finish an open request whose attempt has ended, or queue it for another attempt."""
--- a/gaugesail/policy/congestion_window.py
+++ b/gaugesail/policy/congestion_window.py
@@ -1,8 +1,8 @@
 """How many requests may be in flight at a node, and for which classes (docs/design.md, "The decisions").
 
-Once per control period the FAST TCP rule moves each congestion window toward the latency targets: it shrinks
-while answers take longer than the targets and grows while they take less.  The slots of the window of the
-tier ``WITHIN_RESERVE`` are then split among the request classes: each slot is given to the class whose
+Once per control period the FAST TCP rule moves a node's congestion window toward the latency targets: it
+shrinks while answers take longer than the targets and grows while they take less.  The slots of the window
+are then split among the request classes: each slot is given to the class whose
 response time, forecast by Little's law, exceeds its objective by the largest factor.  The rule, its gain and
 its smoothing are taken from a paper that docs/design.md names; that page also lists where the constants here
 differ.
@@ -34,19 +34,19 @@
 
 
 class CongestionWindows:
-    """Updates the congestion windows of one gateway and splits their slots among the classes."""
+    """Updates the congestion windows of one gateway's nodes and splits their slots among the classes."""
 
     def __init__(self, state: GatewayState, recovery: RecoveryRamp) -> None:
         self._state = state
         self._recovery = recovery
 
     def end_period(self, shard: ShardRecord) -> None:
-        """Update the windows of the shard's node from the period that ends now, and begin the next one."""
+        """Update the window of the shard's node from the period that ends now, and begin the next one."""
         node = shard.node
         if node is not None:
             sums = self._smooth_latencies(node)
             if sums.smoothed:
-                self._move_windows(node, sums)
+                self._move_window(node, sums)
             self._split_slots(shard, node)
             node.latency_sums = [0.0] * len(node.latency_sums)
             node.latency_counts = [0] * len(node.latency_sums)
@@ -72,27 +72,24 @@
             base += node.base_latency_us[position]
         return LatencySums(target, smoothed, base)
 
-    def _move_windows(self, node: NodeRecord, sums: LatencySums) -> None:
-        """Move each window by the FAST TCP rule: window * (1 - r + r * goal / latency).
+    def _move_window(self, node: NodeRecord, sums: LatencySums) -> None:
+        """Move the window by the FAST TCP rule: window * (1 - r + r * goal / latency).
 
-        The goal lies between the lowest latency seen and the target; the higher the weight of the tier, the
-        closer it is to the target.
+        The goal is the target, or nearer to the lowest latency seen while the shard returns.
         """
         bounds = self._recovery.window_bounds(node.shard, MAX_WINDOW)
         # With every gateway at its smallest window, one request is still in flight.
         floor = 1 / self._state.settings.gateway_count
-        for tier, window in enumerate(node.windows):
-            share = min(bounds.latency_share, self._state.tier_weights[tier])
-            goal = sums.base + (sums.target - sums.base) * share
-            moved = window * (1 - WINDOW_GAIN + WINDOW_GAIN * goal / sums.smoothed)
-            was_filled = node.peak_in_flight >= int(window)
-            if moved < window or was_filled:
-                node.windows[tier] = max(floor, bounds.smallest, min(MAX_WINDOW, moved))
+        goal = sums.base + (sums.target - sums.base) * bounds.latency_share
+        moved = node.window * (1 - WINDOW_GAIN + WINDOW_GAIN * goal / sums.smoothed)
+        was_filled = node.peak_in_flight >= int(node.window)
+        if moved < node.window or was_filled:
+            node.window = max(floor, bounds.smallest, min(MAX_WINDOW, moved))
 
     def _split_slots(self, shard: ShardRecord, node: NodeRecord) -> None:
         """Give each slot to the class whose forecast exceeds its objective by the largest factor."""
         node.class_slots = [0] * len(self._state.latency_targets_us)
-        for _ in range(max(1, int(node.windows[0]))):
+        for _ in range(max(1, int(node.window))):
             most_late_class = 0
             max_lateness = -1.0
             for position in range(len(shard.waiting)):
--- a/gaugesail/policy/dispatch.py
+++ b/gaugesail/policy/dispatch.py
@@ -1,8 +1,7 @@
 """Which waiting request is sent to a node next.
 
-While the windows of a node allow it, the unblocked request with the highest rank is sent.  Requests are
-ranked by whether their class has a free slot, then by priority weight, then by the time that their clients
-have left.
+While the window of a node allows it, the unblocked request that is first in the order of ``service_order`` is
+sent; of those with the same claim, one whose class has a free slot.
 """
 
 from __future__ import annotations
@@ -13,8 +12,7 @@
 from .gateway_state import GatewayState
 from .ordered_keys import OrderedKeys
 from .outlier_detection import OutlierDetector, hang_us
-from .priority import priority_weight, volume_tier
-from .records import TIERS, NodeRecord, PendingRequest, ShardRecord
+from .records import NodeRecord, PendingRequest, ShardRecord
 from .recovery import RecoveryRamp
 from .retry_budget import RetryBudget
 from .settings import DeduplicationScope
@@ -22,9 +20,9 @@
 from .volume_table import VolumeTable
 
 if TYPE_CHECKING:
-    Rank = tuple[bool, float, float]
+    Rank = tuple[bool, bool, float, int]  # beyond its reserve, without a slot, spare tag, answer time
 
-LOWEST_RANK: Rank = (False, -1.0, 0)  # below the rank of any request
+LAST: Rank = (True, True, float("inf"), 0)  # after any request
 
 
 class Dispatcher:
@@ -53,12 +51,12 @@
         node = shard.node
         if node is None or not any(shard.waiting):
             return
-        while any(sendable := self.sendable_tiers(node)):
+        while self.may_send(node):
             is_contended = self._recovery.is_contended(node.shard)
             capacity_units, available_units = self._slow_start.capacity(
                 self._state.now, node, self._state.process_count, is_contended
             )
-            request = self._choose(shard, node, sendable, available_units)
+            request = self._choose(shard, node, available_units)
             if request is None:
                 message = self._slow_start.request_share(self._state.now, node, capacity_units)
                 if message is not None:
@@ -66,41 +64,33 @@
                 return
             self._send(request, shard, node)
 
-    def sendable_tiers(self, node: NodeRecord) -> list[bool]:
-        """Return for each tier whether one of its requests may be sent to a node now."""
+    def may_send(self, node: NodeRecord) -> bool:
+        """Return whether a node may be sent one more request now."""
         now = self._state.now
         stuck = self._outliers.stuck_requests(node)
-        is_limited_to_one = self._outliers.is_limited_to_one(node, stuck)
-        in_flight = len(node.in_flight) - len(stuck)
-        may_send = self._recovery.may_send(now, node.shard, len(node.in_flight))
-        sendable = []
-        for tier in range(TIERS):
-            limit = 1 if is_limited_to_one else max(1, int(node.windows[tier]))
-            paused = now < max(node.backoff_until, node.paced_until[tier])
-            sendable.append(may_send and in_flight < limit and not paused)
-        return sendable
-
-    def _choose(
-        self, shard: ShardRecord, node: NodeRecord, sendable: list[bool], available_units: float
-    ) -> PendingRequest | None:
-        """Return the request with the highest rank that may be sent to the node, or None."""
-        state = self._state
-        best = LOWEST_RANK
+        limit = 1 if self._outliers.is_limited_to_one(node, stuck) else max(1, int(node.window))
+        if now < max(node.backoff_until, node.paced_until) or len(node.in_flight) - len(stuck) >= limit:
+            return False
+        return self._recovery.may_send(now, node.shard, len(node.in_flight))
+
+    def _choose(self, shard: ShardRecord, node: NodeRecord, available_units: float) -> PendingRequest | None:
+        """Return the first request in order that may be sent to the node, or None."""
+        best = LAST
         chosen = None
         for position, waiting in enumerate(shard.waiting):
             has_slot = node.class_in_flight[position] < node.class_slots[position]
             for request in waiting:
-                self._volumes.refill(request.volume)
-                tier = volume_tier(request)
-                weight = priority_weight(state, request, node, tier)
-                rank = (has_slot, weight, -request.answer_by)
-                if sendable[tier] and rank > best and not self._is_blocked(request, node, available_units):
+                volume = request.volume
+                self._volumes.refill(volume)
+                beyond = not volume.has_reserve(request.units)
+                rank = (beyond, not has_slot, shard.spare.tag(volume) if beyond else 0.0, request.answer_by)
+                if rank < best and not self._is_blocked(request, node, available_units):
                     best = rank
                     chosen = request
         return chosen
 
     def _is_blocked(self, request: PendingRequest, node: NodeRecord, available_units: float) -> bool:
-        """Return whether something other than the windows keeps a request from being sent now."""
+        """Return whether something other than the window keeps a request from being sent now."""
         now = self._state.now
         if request.not_before > now or request.units > available_units:
             return True
@@ -127,7 +117,7 @@
         self._recovery.request_dequeued(request)
         timeout_us = state.retry_policy.attempt_timeout_us(request, state.now, hang_us(node, request))
         if request.attempts == 0:
-            self._volumes.spend(request)
+            self._volumes.spend(request, shard.spare)
         else:
             self._retry_budget.record_retry(state.now)
         start_before = state.retry_policy.start_before(request)
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -71,7 +71,7 @@
         self.ordered_keys = OrderedKeys(state, self.node_table)
         router = Router(self.slow_start, random.Random(seed + 2))
         self._queue = RequestQueue(state, self.node_table, self.ordered_keys, self.recovery, router)
-        self._queue_check = QueueCheck(state, self.node_table, self._queue, self.volumes, self.recovery)
+        self._queue_check = QueueCheck(state, self.node_table, self._queue, self.recovery)
         self._congestion_windows = CongestionWindows(state, self.recovery)
         outliers = OutlierDetector(state)
         self.dispatcher = Dispatcher(
--- a/gaugesail/policy/gateway_state.py
+++ b/gaugesail/policy/gateway_state.py
@@ -43,7 +43,6 @@
         self.settings = settings
         shortest = min(request_class.deadline_us for request_class in settings.classes)
         self.tick_us = max(settings.tick_us, min(MAX_TICK_US, shortest // TICKS_PER_DEADLINE))
-        self.tier_weights = (1.0, settings.fair_share_weight, settings.beyond_share_weight)
         self.retry_policy = RetryPolicy(backoff_us=self.tick_us, deduplication_margin_us=self.tick_us)
         self._update_classes(settings)
 
--- a/gaugesail/policy/node_table.py
+++ b/gaugesail/policy/node_table.py
@@ -8,7 +8,7 @@
 from .events import Endpoint, EndpointList, EndpointListKind, EndpointState, MaintenanceChanged
 from .gateway_state import GatewayState
 from .node_starts import NodeStartTimes
-from .records import TIERS, NodeRecord, ShardRecord
+from .records import NodeRecord, ShardRecord
 from .recovery import RecoveryRamp
 from .settings import NodeId
 from .slow_start import SlowStart
@@ -67,9 +67,7 @@
 
     def _add(self, endpoint: Endpoint) -> NodeRecord:
         targets = self._state.latency_targets_us
-        node = NodeRecord(
-            endpoint.node_id, endpoint.shard, endpoint.zone, [INITIAL_WINDOW] * TIERS, list(targets)
-        )
+        node = NodeRecord(endpoint.node_id, endpoint.shard, endpoint.zone, INITIAL_WINDOW, list(targets))
         # A node without answers is assumed to be as fast as the average of the measured ones.
         measured = [other.latency_us for other in self.nodes.values() if other.latency_us != targets]
         if measured:
@@ -87,7 +85,7 @@
         warming = self._slow_start.capacity_share(self._state.now, started_at) < 1
         node.warming_since = started_at if warming else None
         node.slow_start_share = self._slow_start.own_share(started_at)
-        node.windows = [SLOW_START_WINDOW if warming else INITIAL_WINDOW] * TIERS
+        node.window = SLOW_START_WINDOW if warming else INITIAL_WINDOW
         node.consecutive_failures = 0
 
     def _set_ready(self, node: NodeRecord) -> None:
@@ -129,7 +127,7 @@
         self._set_started(node, node.listed_start_us, self._state.now)
         node.latest_success_sent_at = self._state.now
         node.backoff_until = 0
-        node.paced_until = [0] * TIERS
+        node.paced_until = 0
         if node.listed_as_ready:
             self._set_ready(node)
 
--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -7,12 +7,11 @@
 
 from .gateway_state import GatewayState
 from .node_table import NodeTable
-from .priority import priority_weight, volume_tier
-from .records import NodeRecord, PendingRequest, ShardRecord
+from .records import PendingRequest, ShardRecord
 from .recovery import RecoveryRamp
 from .rejections import RejectionReason
 from .request_queue import RequestQueue
-from .volume_table import VolumeTable
+from .service_order import in_service_order
 
 
 class QueueCheck:
@@ -23,13 +22,11 @@
         state: GatewayState,
         node_table: NodeTable,
         queue: RequestQueue,
-        volumes: VolumeTable,
         recovery: RecoveryRamp,
     ) -> None:
         self._state = state
         self._node_table = node_table
         self._queue = queue
-        self._volumes = volumes
         self._recovery = recovery
 
     def run(self) -> None:
@@ -83,28 +80,13 @@
         Nothing is known of a node that has served none yet.
         """
         node = shard.node
-        if node is None:
+        answer_us = node.mean_answer_us if node is not None else 0.0
+        if node is None or not answer_us:
             return []
-        means_us = [service.mean_us for service in node.service if service.mean_us]
-        if not means_us:
-            return []
-        latency_us = sum(means_us) / len(means_us)
         overflow: list[PendingRequest] = []
-        for position, (tier, request) in enumerate(self._by_priority(shard, node)):
+        for position, request in enumerate(in_service_order(shard, self._state.now)):
             time_left_us = max(0, request.latest_start(node) - self._state.now)
             ahead = position - len(overflow)
-            if ahead > node.windows[tier] * time_left_us / latency_us:
+            if ahead > node.window * time_left_us / answer_us:
                 overflow.append(request)
         return overflow
-
-    def _by_priority(self, shard: ShardRecord, node: NodeRecord) -> list[tuple[int, PendingRequest]]:
-        """Return the waiting requests, each with its tier, in the order in which they would be sent."""
-        ranked: list[tuple[float, int, int, int, PendingRequest]] = []
-        for waiting in shard.waiting:
-            for request in waiting:
-                self._volumes.refill(request.volume)
-                tier = volume_tier(request)
-                weight = priority_weight(self._state, request, node, tier)
-                ranked.append((weight, -request.answer_by, -request.request_id, tier, request))
-        ranked.sort(reverse=True)
-        return [(tier, request) for _, _, _, tier, request in ranked]
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -5,56 +5,48 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from .recovery_queue import Arrival
 from .service_time import ServiceTime
 from .settings import NodeId, Plan, RequestClass
+from .spare_shares import SpareShares
 from .token_bucket import TokenBucket
 
-# The tiers of a request by the budget of its volume; a node has one congestion window for each.
-WITHIN_RESERVE = 0
-WITHIN_SHARE = 1
-BEYOND_SHARE = 2
-TIERS = 3
-
 
 @dataclass(slots=True, eq=False)
 class VolumeBudget:
-    """What remains of a volume's reserve and fair share at this gateway, and its rate-limit bucket."""
+    """What remains of a volume's reserve at this gateway, and its rate-limit bucket."""
 
     plan: Plan
     gateways_in_use: float
     refilled_at: int
     reserve_units: float
-    share_units: float
     limit_bucket: TokenBucket
     open_requests: int = 0
 
     def refill(self, now: int, max_request_units: float) -> None:
-        """Add the units accrued since the last call to the reserve and the fair share."""
-        plan = self.plan
-        elapsed_s = (now - self.refilled_at) / 1e6
+        """Add the units accrued since the last call to the reserve."""
+        self.reserve_units = min(
+            self.plan.reserve + max_request_units, self.reserve_by(self.refilled_at, now)
+        )
         self.refilled_at = now
-        # Gateways are used unevenly: each one's part lies between an even share and the total.  This one
-        # accrues what the plan's rates give in ``own_s`` seconds.
-        own_s = elapsed_s / self.gateways_in_use**0.5
-        self.reserve_units = min(plan.reserve + max_request_units, self.reserve_units + plan.reserve * own_s)
-        self.share_units = min(plan.rate * 2, self.share_units + plan.rate * 2 * own_s)
+
+    def reserve_by(self, now: int, at: int) -> float:
+        """Return the units that the reserve has at a later time if none are spent."""
+        # Gateways are used unevenly: each one's part lies between an even share and the total.
+        own_rate = self.plan.reserve / math.sqrt(self.gateways_in_use)
+        return self.reserve_units + own_rate * max(0, at - now) / 1e6
 
     def is_full(self, max_request_units: float) -> bool:
         """Return whether a new budget would hold no more."""
-        plan = self.plan
-        return self.reserve_units >= plan.reserve + max_request_units and self.share_units >= plan.rate * 2
+        return self.reserve_units >= self.plan.reserve + max_request_units
 
     def has_reserve(self, units: float) -> bool:
         """Return whether the reserve covers at least half of a request."""
         return self.reserve_units >= units / 2
 
-    def has_share(self, units: float) -> bool:
-        """Return whether the fair share covers at least half of a request."""
-        return self.share_units >= units / 2
-
 
 @dataclass(slots=True, eq=False)
 class SiblingClaim:
@@ -137,7 +129,7 @@
     node_id: NodeId
     shard: int
     zone: int
-    windows: list[float]  # congestion windows: requests in flight, by tier
+    window: float  # congestion window: requests in flight
     latency_us: list[float]  # smoothed, by class
     base_latency_us: list[float] = field(default_factory=list)  # lowest recent latency, by class
     service: list[ServiceTime] = field(default_factory=list)  # of served attempts, by class
@@ -147,7 +139,7 @@
     warming_since: int | None = None  # on the gateway's clock; None: warm
     latency_sums: list[float] = field(default_factory=list)  # of this control period, by class
     latency_counts: list[int] = field(default_factory=list)
-    class_slots: list[int] = field(default_factory=list)  # of the window of the tier WITHIN_RESERVE, by class
+    class_slots: list[int] = field(default_factory=list)  # of the window, by class
     class_in_flight: list[int] = field(default_factory=list)
     in_flight: dict[tuple[int, int], PendingRequest] = field(default_factory=dict)  # by request and attempt
     peak_in_flight: int = 0  # of this control period
@@ -157,7 +149,7 @@
     slow_start_share: float = 0.0  # this gateway's share of its capacity while it warms up
     next_share_request_at: int = 0
     share_requesters: dict[int, int] = field(default_factory=dict)  # gateway: time of its latest request
-    paced_until: list[int] = field(default_factory=list)  # no attempt before then, by tier
+    paced_until: int = 0  # no attempt before then
 
     def __post_init__(self) -> None:
         count = len(self.latency_us)
@@ -165,7 +157,12 @@
         self.class_slots, self.class_in_flight = [0] * count, [0] * count
         self.base_latency_us = list(self.latency_us)
         self.service = [ServiceTime() for _ in range(count)]
-        self.paced_until = [0] * len(self.windows)
+
+    @property
+    def mean_answer_us(self) -> float:
+        """Microseconds that it takes to answer, the mean of the classes that it has served; 0: none yet."""
+        means = [service.mean_us for service in self.service if service.mean_us]
+        return sum(means) / len(means) if means else 0.0
 
     def update_classes(self, old_targets_us: list[float], targets_us: list[float]) -> None:
         """Adapt to added classes or changed latency targets; measured latencies are kept."""
@@ -191,6 +188,7 @@
     previous_queue_lengths: list[int] = field(default_factory=list)  # at the end of the previous period
     node: NodeRecord | None = None
     in_maintenance: bool = False  # its node is: nothing can be sent until that ends
+    spare: SpareShares = field(default_factory=SpareShares)
 
     def __post_init__(self) -> None:
         self.waiting = [[] for _ in range(self.class_count)]
--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -1,8 +1,8 @@
 """The recovery ramp: decisions for a shard that is unavailable or recovering.
 
 Each such shard has a ``ShardRecovery``: its health, a recovery queue of the clients that were rejected and
-may retry, and the retry storm that they may cause.  Turns in a queue are assigned by the priority weight of
-plan and class.  The queue advances by what the node may be sent (``shard_capacity``) less what new requests
+may retry, and the retry storm that they may cause.  Turns in a queue are assigned by the share weights of
+plans.  The queue advances by what the node may be sent (``shard_capacity``) less what new requests
 take, so turns keep their order when the node warms up faster or slower than assumed.  A rejected client gets
 a Retry-After time that follows from its turn (``retry_after``).
 
@@ -28,13 +28,13 @@
 from .shard_health import FAILURE_POINTS, ShardHealth, ShardPhase
 from .shard_recovery import ShardRecovery
 from .slow_start import SlowStart
+from .spare_shares import SMALLEST_WEIGHT
 
 LOST_TICKET_US = 1_000_000  # overdue by this, or twice the longest Retry-After if longer: no retry expected
 # While a shard returns (``is_returning``), its node's windows aim at this share of the way from the lowest
 # latency to the target.
 RETURNING_LATENCY_SHARE = 0.35
 RETURNING_IN_FLIGHT = 4.0  # requests in flight at its node then, from all gateways together
-SMALLEST_WEIGHT = 1e-3  # of a flow, so that every flow is served
 
 
 class WindowBounds(NamedTuple):
@@ -72,9 +72,7 @@
         self._capacity.update_settings(settings)
         self.retry_after.update_longest(settings.longest_retry_after_us)
         self._weights = {
-            (plan.name, request_class.name): max(
-                SMALLEST_WEIGHT, plan.priority_weight * request_class.priority_weight
-            )
+            (plan.name, request_class.name): max(SMALLEST_WEIGHT, plan.share_weight)
             for plan in settings.plans
             for request_class in settings.classes
         }
--- a/gaugesail/policy/routing.py
+++ b/gaugesail/policy/routing.py
@@ -10,7 +10,7 @@
 
 from random import Random
 
-from .records import WITHIN_RESERVE, NodeRecord, ShardRecord
+from .records import NodeRecord, ShardRecord
 from .slow_start import SlowStart
 
 CHOICES = 4  # with 2, slow, failing and warming nodes are chosen too often in small fleets
@@ -50,5 +50,5 @@
         queue_length = 1 + len(node.in_flight) + sum(map(len, shard.waiting))
         weighted_length = queue_length * 2**node.consecutive_failures
         capacity_share = self._slow_start.capacity_share(now, node.warming_since)
-        capacity = node.windows[WITHIN_RESERVE] * capacity_share
+        capacity = node.window * capacity_share
         return weighted_length * node.latency_us[class_position] / capacity
--- a/gaugesail/policy/settings.py
+++ b/gaugesail/policy/settings.py
@@ -1,8 +1,10 @@
 """The settings of one gateway: classes of requests, plans of volumes, and limits of the site.
 
 ``cancel_allowed``, ``health_checks_allowed``, ``reports_usage_elsewhere``, ``load_report_fields``,
-``answer_slack_us``, ``share_weight``, ``limit_slack`` and ``writes`` are given by the platform and have no
-effect on the present policy.  ``drain_grace_us`` and ``shard_count`` are used only outside the policy.
+``answer_slack_us``, ``limit_slack``, ``writes``, ``late_weight_share``, the ``priority_weight`` of classes,
+``fair_share_weight`` and ``beyond_share_weight`` are given by the platform and have no effect on the present
+policy; the ``priority_weight`` of plans counts only where a fleet divides its limits.  ``drain_grace_us`` and
+``shard_count`` are used only outside the policy.
 
 Settings are immutable.  New settings reach a running gateway as a ``SettingsChanged`` event; an open request
 keeps those in force when it was received.  All times are integer microseconds, all sizes are units of work.
@@ -65,7 +67,7 @@
     """One class of requests; raises ``InvalidSetting``."""
 
     name: str
-    latency_objective_us: int  # a later answer has only ``late_weight_share`` of its weight
+    latency_objective_us: int  # what clients hope for; it guides the congestion windows
     deadline_us: int  # how long a client of this class waits
     priority_weight: float = 1.0  # of one unit answered within the objective
     late_weight_share: float = 0.0
@@ -90,9 +92,9 @@
     """
 
     name: str
-    rate: float = 0.0  # fair share
+    rate: float = 0.0  # for which its volumes are sized
     reserve: float = 0.0  # guaranteed rate
-    share_weight: float = 1.0
+    share_weight: float = 1.0  # proportion of what a shard can do beyond the reserves
     priority_weight: float = 1.0  # multiplies that of the request's class
     limit: float = 0.0  # rate limit; 0: none
     limit_burst: float = 0.0  # units
--- a/gaugesail/policy/volume_table.py
+++ b/gaugesail/policy/volume_table.py
@@ -1,4 +1,4 @@
-"""The budgets of volumes at this gateway: reserve, fair share, and rate limit."""
+"""The budgets of volumes at this gateway: reserve and rate limit."""
 
 from __future__ import annotations
 
@@ -9,8 +9,9 @@
 from .rate_limits import RateLimits
 from .records import PendingRequest, VolumeBudget
 from .settings import Settings
+from .spare_shares import SpareShares
 
-IDLE_BUDGET_US = 10_000_000  # without an open request; by then reserve and fair share are full
+IDLE_BUDGET_US = 10_000_000  # without an open request; by then the reserve is full
 MAX_VOLUMES = 10_000  # the default of ``VolumeTable.max_volumes``
 EXAMINED_IN_PERIOD = 2_000  # budgets that may be dropped in one control period
 EXAMINED_FOR_ONE = 4  # while there are too many, for each new one
@@ -41,7 +42,7 @@
             state = self._state
             bucket = self._rate_limits.open_bucket(state.now, plan, event.volume_id, event.gateways_in_use)
             reserve = plan.reserve + state.settings.max_request_units
-            volume = VolumeBudget(plan, event.gateways_in_use, state.started_at, reserve, plan.rate, bucket)
+            volume = VolumeBudget(plan, event.gateways_in_use, state.started_at, reserve, bucket)
             if len(self.budgets) >= self.max_volumes:
                 self._examine(EXAMINED_FOR_ONE, 0)
             self.budgets[key] = volume
@@ -56,14 +57,14 @@
         volume.refill(state.now, state.settings.max_request_units)
         self._rate_limits.refill(state.now, volume.limit_bucket, volume.gateways_in_use, state.process_count)
 
-    def spend(self, request: PendingRequest) -> None:
-        """Spend the units of a first attempt from the reserve or fair share, and from the rate limit."""
+    def spend(self, request: PendingRequest, spare: SpareShares) -> None:
+        """Spend the units of a first attempt from the reserve or its shard's spare, and the rate limit."""
         volume = request.volume
         request.quota_until = self._rate_limits.spend(self._state.now, volume.limit_bucket, request.units)
         if volume.has_reserve(request.units):
             volume.reserve_units -= request.units
         else:
-            volume.share_units -= request.units
+            spare.spend(volume, request.units)
 
     def update_plans(self) -> None:
         """Apply changed settings: each budget follows its plan by name."""
