Judge a queue by how fast it is worked off, and give places to those who can come in time

Cause: the queue was judged by the window over the latest latency, which swings with each pause, and as if nobody with a reserve came later; a request that waits was held until the fastest answer. Change: drain_rate measures how fast a queue leaves, in all and beyond the reserves. Who waits is refused when a mean answer would come too late, as the place serves another one in its time; who finds a free place goes while the fastest would do.

--- a/gaugesail/policy/admission.py
+++ b/gaugesail/policy/admission.py
@@ -52,8 +52,8 @@
         self._recovery.request_received(state.now, request, event)
         self._queue.enqueue(request)
         node = self._node_table.shards[request.shard].node
-        if request.latest_start(node) <= state.now + state.tick_us:
-            # The next queue check may run after the latest start, or after the client has given up.
+        if request.latest_useful_start(node) <= state.now + state.tick_us:
+            # The next queue check may run after that, or after the client has given up.
             self._queue.reject(request, RejectionReason.TOO_LATE)
 
     def _open(self, event: RequestReceived) -> PendingRequest:
--- a/gaugesail/policy/attempt_results.py
+++ b/gaugesail/policy/attempt_results.py
@@ -97,5 +97,5 @@
         never_sent = event.result is AttemptResult.NOT_STARTED
         if never_sent or not state.retry_policy.allows_attempt(request, state.now):
             self._queue.reject(request, RejectionReason.RETRY_NOT_ALLOWED)
-        elif state.now > request.latest_start(self._node_table.shards[request.shard].node):
+        elif state.now > request.latest_useful_start(self._node_table.shards[request.shard].node):
             self._queue.reject(request, RejectionReason.OUT_OF_TIME)
--- a/gaugesail/policy/congestion_window.py
+++ b/gaugesail/policy/congestion_window.py
@@ -43,6 +43,9 @@
     def end_period(self, shard: ShardRecord) -> None:
         """Update the window of the shard's node from the period that ends now, and begin the next one."""
         node = shard.node
+        is_filled = any(shard.previous_queue_lengths) and any(shard.waiting)
+        expected_per_s = 0.0 if node is None else node.expected_per_s
+        shard.drain.end_period(CONTROL_PERIOD_US / 1e6, is_filled, expected_per_s)
         if node is not None:
             sums = self._smooth_latencies(node)
             if sums.smoothed:
--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -7,7 +7,7 @@
 
 from .gateway_state import GatewayState
 from .node_table import NodeTable
-from .records import PendingRequest, ShardRecord
+from .records import NodeRecord, PendingRequest, ShardRecord
 from .recovery import RecoveryRamp
 from .rejections import RejectionReason
 from .request_queue import RequestQueue
@@ -75,18 +75,34 @@
                 self._queue.reject(request, RejectionReason.UNAVAILABLE)
 
     def _overflow(self, shard: ShardRecord) -> list[PendingRequest]:
-        """Return the requests behind more others than can be sent before their latest start (Little's law).
+        """Return the requests behind more others than are sent before their latest start.
 
-        Nothing is known of a node that has served none yet.
+        The queue is worked off as fast as measured, or by Little's law as long as it is new.  Nothing is
+        known of a node that has served none yet.
         """
         node = shard.node
-        answer_us = node.mean_answer_us if node is not None else 0.0
-        if node is None or not answer_us:
+        if node is None:
             return []
+        per_s = shard.drain.per_s or node.expected_per_s
+        if not per_s:
+            return []
+        order = in_service_order(shard, self._state.now)
+        beyond_per_s = min(per_s, shard.drain.beyond_reserve_per_s or per_s)
+        overflow = self._beyond_reach(node, order.reserved, 0.0, per_s)
+        reserved_us = (len(order.reserved) - len(overflow)) / per_s * 1e6
+        return overflow + self._beyond_reach(node, order.beyond, reserved_us, beyond_per_s)
+
+    def _beyond_reach(
+        self, node: NodeRecord, requests: list[PendingRequest], wait_us: float, per_s: float
+    ) -> list[PendingRequest]:
+        """Return those of ``requests`` whose turn comes after their latest start.
+
+        :param wait_us: until the turn of the first one; the others follow at ``per_s``.
+        """
         overflow: list[PendingRequest] = []
-        for position, request in enumerate(in_service_order(shard, self._state.now)):
-            time_left_us = max(0, request.latest_start(node) - self._state.now)
-            ahead = position - len(overflow)
-            if ahead > node.window * time_left_us / answer_us:
+        for request in requests:
+            if self._state.now + wait_us > max(self._state.now, request.latest_start(node)):
                 overflow.append(request)
+            else:
+                wait_us += 1e6 / per_s
         return overflow
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
+from .drain_rate import DrainRate
 from .recovery_queue import Arrival
 from .service_time import ServiceTime
 from .settings import NodeId, Plan, RequestClass
@@ -114,11 +115,14 @@
     arrival: Arrival = Arrival.WITHOUT_TICKET  # by the recovery queue of its shard
 
     def latest_start(self, node: NodeRecord | None) -> int:
-        """Return after which time, in microseconds, not even the fastest answer of a node comes in time.
+        """Return until when, in microseconds, an attempt at a node can be expected to come in time.
 
-        An attempt may start as long as the client can still be answered, whether others came before it or
-        not.  Of a node that has served none of the class nothing is known.
+        Of a node that has served none of the class nothing is known: it may be fast.
         """
+        return self.answer_by - (0 if node is None else int(node.service[self.class_position].mean_us))
+
+    def latest_useful_start(self, node: NodeRecord | None) -> int:
+        """Return until when, in microseconds, at least the node's fastest answer would come in time."""
         return self.answer_by - (0 if node is None else int(node.service[self.class_position].fastest_us))
 
 
@@ -164,6 +168,12 @@
         means = [service.mean_us for service in self.service if service.mean_us]
         return sum(means) / len(means) if means else 0.0
 
+    @property
+    def expected_per_s(self) -> float:
+        """Requests a second that its window lets through, by Little's law; 0: it has served none yet."""
+        mean_us = self.mean_answer_us
+        return self.window / mean_us * 1e6 if mean_us else 0.0
+
     def update_classes(self, old_targets_us: list[float], targets_us: list[float]) -> None:
         """Adapt to added classes or changed latency targets; measured latencies are kept."""
         if self.latency_us == old_targets_us:  # nothing has been measured yet
@@ -189,6 +199,7 @@
     node: NodeRecord | None = None
     in_maintenance: bool = False  # its node is: nothing can be sent until that ends
     spare: SpareShares = field(default_factory=SpareShares)
+    drain: DrainRate = field(default_factory=DrainRate)
 
     def __post_init__(self) -> None:
         self.waiting = [[] for _ in range(self.class_count)]
--- a/gaugesail/policy/service_order.py
+++ b/gaugesail/policy/service_order.py
@@ -8,12 +8,20 @@
 from __future__ import annotations
 
 import heapq
+from typing import NamedTuple
 
 from .records import PendingRequest, ShardRecord, VolumeBudget
 from .spare_shares import cost
 
 
-def in_service_order(shard: ShardRecord, now: int) -> list[PendingRequest]:
+class ServiceOrder(NamedTuple):
+    """The waiting requests of a shard, in the order in which they would be served."""
+
+    reserved: list[PendingRequest]  # within the reserve of their volume; they go first
+    beyond: list[PendingRequest]
+
+
+def in_service_order(shard: ShardRecord, now: int) -> ServiceOrder:
     """Return the waiting requests of a shard in the order in which they would be served from ``now`` on.
 
     A reserve counts with what it accrues until the answer of each request is due.
@@ -26,7 +34,7 @@
     for volume, requests in by_volume.items():
         beyond.append(_split_off_reserved(volume, requests, now, reserved))
     reserved.sort(key=lambda request: request.answer_by)
-    return reserved + _by_spare_share(shard, [requests for requests in beyond if requests])
+    return ServiceOrder(reserved, _by_spare_share(shard, [requests for requests in beyond if requests]))
 
 
 def _waiting(shard: ShardRecord) -> list[PendingRequest]:
--- a/tests/simulator/test_protocol.py
+++ b/tests/simulator/test_protocol.py
@@ -11,6 +11,7 @@
 import pytest
 
 from gaugesail.policy.actions import Action, WriteLog
+from gaugesail.policy.gateway_state import MAX_TICK_US
 from gaugesail.policy.settings import Plan, RequestClass, Settings
 from gaugesail.simulator import protocol as wire
 from gaugesail.simulator.action_records import write_reply
