Tell Retry-After by the backlog, the turn or the outage, not by the longest time allowed

Seen by callers: at the same backlog Retry-After grew with the longest one allowed (2 and 8 s: told 1.96 and 7.8 s); an idle node's clients were told as much as those of one with a full queue. Cause: RetryAfterPolicy.spread drew from 0.8 to 1 of the longest time, for_ticket from half of it, and the slots of the schedule were a share of it. Change: backlog.py tells how long the work that is left takes, by the rate at which the queue drains, by Little's law while it is new, and at a node that has answered nothing by the age of its oldest attempt. A refused client is told that; those refused together get one turn after another. A shard that is away is told to be away for the list's usual delay, or for as long again as it has been. The longest allowed is a bound only.

--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
+from .backlog import drained_per_s
 from .gateway_state import GatewayState
 from .node_table import NodeTable
 from .records import NodeRecord, PendingRequest, ShardRecord
@@ -14,6 +17,13 @@
 from .service_order import in_service_order
 
 
+class Overflow(NamedTuple):
+    """A request that is not reached in its time."""
+
+    request: PendingRequest
+    turn_us: float  # until its turn
+
+
 class QueueCheck:
     """Checks the queues of one gateway."""
 
@@ -35,8 +45,8 @@
             for request in [request for waiting in shard.waiting for request in waiting]:
                 self._check(request, shard)
             self._reject_in_outage(number, shard)
-            for request in self._overflow(shard):
-                self._queue.reject(request, RejectionReason.QUEUE_TOO_LONG)
+            for request, turn_us in self._overflow(shard):
+                self._queue.reject(request, RejectionReason.QUEUE_TOO_LONG, turn_us)
             if any(shard.waiting):
                 self._node_table.mark_changed(number)
 
@@ -74,17 +84,14 @@
             if now + outage_us > request.latest_start(shard.node) and not request.any_shard:
                 self._queue.reject(request, RejectionReason.UNAVAILABLE)
 
-    def _overflow(self, shard: ShardRecord) -> list[PendingRequest]:
+    def _overflow(self, shard: ShardRecord) -> list[Overflow]:
         """Return the requests behind more others than are sent before their latest start.
 
-        The queue is worked off as fast as measured, or by Little's law as long as it is new.  Nothing is
-        known of a node that has served none yet.
+        The queue is worked off as fast as measured.  Nothing is known of a node that has served none yet.
         """
         node = shard.node
-        if node is None:
-            return []
-        per_s = shard.drain.per_s or node.expected_per_s
-        if not per_s:
+        per_s = drained_per_s(shard, node) if node is not None else 0.0
+        if node is None or not per_s:
             return []
         order = in_service_order(shard, self._state.now)
         beyond_per_s = min(per_s, shard.drain.beyond_reserve_per_s or per_s)
@@ -94,15 +101,17 @@
 
     def _beyond_reach(
         self, node: NodeRecord, requests: list[PendingRequest], wait_us: float, per_s: float
-    ) -> list[PendingRequest]:
+    ) -> list[Overflow]:
         """Return those of ``requests`` whose turn comes after their latest start.
 
+        Each is told a turn of its own behind the others.
+
         :param wait_us: until the turn of the first one; the others follow at ``per_s``.
         """
-        overflow: list[PendingRequest] = []
+        overflow: list[Overflow] = []
         for request in requests:
-            if self._state.now + wait_us > max(self._state.now, request.latest_start(node)):
-                overflow.append(request)
+            if wait_us > max(0, request.latest_start(node) - self._state.now):
+                overflow.append(Overflow(request, wait_us + len(overflow) / per_s * 1e6))
             else:
                 wait_us += 1e6 / per_s
         return overflow
--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -219,24 +219,31 @@
         request.arrival = Arrival.WITHOUT_TICKET
 
     def record_rejection(
-        self, now: int, request: PendingRequest, reason: RejectionReason, node: NodeRecord | None
+        self,
+        now: int,
+        request: PendingRequest,
+        reason: RejectionReason,
+        node: NodeRecord | None,
+        backlog_us: float,
     ) -> int:
         """Return the Retry-After time of a rejected request, in microseconds.
 
         The rejection is counted by its reason and the state of the shard's node.
+
+        :param backlog_us: until the shard has worked off what waits there.
         """
         self.count_rejection(reason, _state_of(node))
         if not self._enabled or not self.retry_after.can_be_spread:
             return self.retry_after.longest_us
         recovery = self.shards.get(request.shard)
         if recovery is None or request.any_shard or recovery.health.phase is ShardPhase.SERVING:
-            return self.retry_after.spread(now)
+            return self.retry_after.for_backlog(now, backlog_us)
         if recovery.storm is not None:
             recovery.storm.rejected += 1
         ticket = self.tickets.find(request.fingerprint)
         if ticket is None or request.arrival is Arrival.EARLY:
             ticket = self._new_ticket(recovery.queue, now, request, ticket)
-        wait_us = self.retry_after.for_ticket(now, recovery.health, recovery.queue, ticket)
+        wait_us = self.retry_after.for_ticket(now, recovery.health, recovery.queue, ticket, backlog_us)
         ticket.retry_after_us = wait_us
         ticket.retry_at = now + wait_us
         self._keep(ticket)
--- a/gaugesail/policy/request_queue.py
+++ b/gaugesail/policy/request_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .actions import FailRequest, RejectRequest
+from .backlog import backlog_us
 from .events import ClientDisconnected
 from .gateway_state import GatewayState
 from .node_table import NodeTable
@@ -64,11 +65,15 @@
         if request.ordered_key is not None:
             self._ordered_keys.remove(request.ordered_key, request)
 
-    def reject(self, request: PendingRequest, reason: RejectionReason) -> None:
-        """Reject a request with nothing in flight, or fail it where a retry may do harm."""
+    def reject(self, request: PendingRequest, reason: RejectionReason, turn_us: float | None = None) -> None:
+        """Reject a request with nothing in flight, or fail it where a retry may do harm.
+
+        :param turn_us: microseconds until it could have been sent; None: behind all that waits now.
+        """
         state = self._state
-        node = self._node_table.shards[request.shard].node
-        retry_after_us = self._recovery.record_rejection(state.now, request, reason, node)
+        shard = self._node_table.shards[request.shard]
+        left_us = backlog_us(state.now, shard) if turn_us is None else turn_us
+        retry_after_us = self._recovery.record_rejection(state.now, request, reason, shard.node, left_us)
         if state.retry_policy.may_reject(request):
             state.actions.append(RejectRequest(request.request_id, retry_after_us))
         else:
--- a/gaugesail/policy/retry_after.py
+++ b/gaugesail/policy/retry_after.py
@@ -1,7 +1,9 @@
 """Retry-After: when the client of a rejected request should retry.
 
-A client whose turn in the recovery queue is known and near gets the time of that turn.  The times for all
-others are spread evenly, up to the longest Retry-After time that clients may get.
+That is when the work that is left allows it: once the backlog of a shard that serves is worked off, at its
+turn in the recovery queue of a shard that returns, and, of one that is away, after the time that it is
+expected to take.  Nobody is told more than the longest time that clients observe.  The times of all clients
+are spread, so that few of them come at once.
 """
 
 from __future__ import annotations
@@ -15,7 +17,7 @@
 from .shard_health import ShardHealth, ShardPhase
 
 SHORTEST_US = 5_000  # shortest Retry-After time for the turn of a ticket
-SPREAD_SHARE = 0.8  # of the longest Retry-After time: the shortest one at a shard that serves
+SPREAD = 1.25  # the longest Retry-After time for a backlog, as a multiple of the shortest one
 SHORTEST_LIST_DELAY_US = 200_000  # shortest assumed delay of the endpoint list
 LIST_DELAYS_KEPT = 8
 LONGEST_LIST_DELAY_US = 60_000_000  # a longer delay means that the clocks differ
@@ -27,13 +29,11 @@
     def __init__(self, rng: random.Random) -> None:
         self.longest_us = 0
         self.list_delays_us: deque[int] = deque(maxlen=LIST_DELAYS_KEPT)
-        self._schedule = RetrySchedule(rng, 0)
+        self._schedule = RetrySchedule(rng)
 
     def update_longest(self, longest_us: int) -> None:
         """Set the longest Retry-After time that clients may get; 0: they get none."""
-        if longest_us != self.longest_us:
-            self.longest_us = longest_us
-            self._schedule.update_longest(longest_us)
+        self.longest_us = longest_us
 
     @property
     def can_be_spread(self) -> bool:
@@ -45,29 +45,45 @@
         if 0 < delay_us < LONGEST_LIST_DELAY_US:
             self.list_delays_us.append(delay_us)
 
-    def spread(self, now: int) -> int:
-        """Return the time for a request that is rejected at a shard that serves."""
+    def for_backlog(self, now: int, backlog_us: float) -> int:
+        """Return the time for a request that is rejected at a shard that serves.
+
+        :param backlog_us: until the shard has worked off what waits there.
+        """
         if not self.can_be_spread:
             return self.longest_us
-        return self._schedule.choose(now, int(SPREAD_SHARE * self.longest_us), self.longest_us)
+        longest = min(self.longest_us, max(2 * SHORTEST_US, int(SPREAD * backlog_us)))
+        return self._schedule.choose(now, max(SHORTEST_US, int(longest / SPREAD)), longest)
 
-    def for_ticket(self, now: int, health: ShardHealth, queue: RecoveryQueue, ticket: RetryTicket) -> int:
+    def for_ticket(
+        self, now: int, health: ShardHealth, queue: RecoveryQueue, ticket: RetryTicket, backlog_us: float
+    ) -> int:
         """Return the time for a ticket in the queue of a shard that is or was unavailable."""
-        shortest = self.longest_us // 2
-        longest = self.longest_us
-        if health.is_returning:
-            wait = queue.wait_us(ticket.tag)
-            if wait is not None and SHORTEST_US <= wait < longest:
-                self._schedule.record(now, wait)
-                return wait
-            if wait is not None and wait < SHORTEST_US:
-                # Its turn has passed: the node is slower than assumed.
-                shortest = SHORTEST_US
-                longest = max(2 * SHORTEST_US, longest // 8)
-        elif health.phase is ShardPhase.FAILING:
-            shortest = min(longest - 1, max(shortest, health.trial_at - now))
-        elif self.list_delays_us:
-            # The list shows a returning node only after this delay; no earlier retry can be served.
-            longest = min(longest, max(SHORTEST_LIST_DELAY_US, max(self.list_delays_us)))
-            shortest = longest // 2
-        return self._schedule.choose(now, shortest, longest)
+        if not health.is_returning:
+            return self._for_outage(now, self._expected_outage_us(now, health))
+        wait = queue.wait_us(ticket.tag)
+        if wait is None or wait >= self.longest_us:
+            return self._for_outage(now, self.longest_us)
+        if wait < SHORTEST_US:
+            # Its turn has passed: the node is slower than assumed.
+            return self.for_backlog(now, backlog_us)
+        self._schedule.record(now, wait)
+        return wait
+
+    def _for_outage(self, now: int, expected_us: int) -> int:
+        """Return a time in the second half of the time that is expected."""
+        longest = min(self.longest_us, max(2 * SHORTEST_US, expected_us))
+        return self._schedule.choose(now, longest // 2, longest)
+
+    def _expected_outage_us(self, now: int, health: ShardHealth) -> int:
+        """Return how long a shard is expected to stay unavailable.
+
+        The endpoint list shows a returning node only after its usual delay; until then, and at a node that
+        fails, the outage is taken to last as long again as it has.
+        """
+        outage_us = now - health.phase_since
+        if health.phase is ShardPhase.FAILING:
+            return max(outage_us, health.trial_at - now)
+        if self.list_delays_us:
+            return max(SHORTEST_LIST_DELAY_US, max(self.list_delays_us))
+        return outage_us
