Bound windows by the design's ceiling of 32, and let them grow by one a period

Seen by callers: a gateway kept at most four requests at a node, whatever the node can do: with a node of more places, requests waited and were refused while it stood idle. Change: the ceiling is 32.

--- a/gaugesail/policy/congestion_window.py
+++ b/gaugesail/policy/congestion_window.py
@@ -22,7 +22,8 @@
 BASE_LATENCY_DRIFT = 1.15  # growth factor of the lowest latency per control period: old values expire
 INITIAL_WINDOW = 4.0  # requests in flight per gateway and node
 SLOW_START_WINDOW = 1.0  # requests in flight at a node that is warming up, or has just served its trial
-MAX_WINDOW = 4.0  # requests in flight; small, as several gateways share the few slots of a node
+MAX_WINDOW = 32.0  # requests in flight
+MAX_GROWTH = 1.0  # of a window in one control period, in requests
 
 
 class LatencySums(NamedTuple):
@@ -78,13 +79,16 @@
     def _move_window(self, node: NodeRecord, sums: LatencySums) -> None:
         """Move the window by the FAST TCP rule: window * (1 - r + r * goal / latency).
 
-        The goal is the target, or nearer to the lowest latency seen while the shard returns.
+        It grows by no more than ``MAX_GROWTH``, as all gateways of a node see a gap at once and the answers to
+        what they then send come later.  The goal is the target, or nearer to the lowest latency seen while
+        the shard returns.
         """
         bounds = self._recovery.window_bounds(node.shard, MAX_WINDOW)
         # With every gateway at its smallest window, one request is still in flight.
         floor = 1 / self._state.settings.gateway_count
         goal = sums.base + (sums.target - sums.base) * bounds.latency_share
         moved = node.window * (1 - WINDOW_GAIN + WINDOW_GAIN * goal / sums.smoothed)
+        moved = min(moved, node.window + MAX_GROWTH)
         was_filled = node.peak_in_flight >= int(node.window)
         if moved < node.window or was_filled:
             node.window = max(floor, bounds.smallest, min(MAX_WINDOW, moved))
--- a/tests/policy/test_gateway.py
+++ b/tests/policy/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import pairwise
 
 from gaugesail.policy.actions import Action, RejectRequest, WatchEndpoints
 from gaugesail.policy.events import (
@@ -338,3 +339,19 @@
     assert node.backoff_until > driver.now and not driver.gateway.dispatcher.may_send(node)
     driver.end_attempt(third)
     assert not node.consecutive_failures
+
+
+def test_a_window_grows_by_one_in_a_period_up_to_the_ceiling_of_the_design() -> None:
+    driver = Driver(gateway_driver.settings(overload_window_us=0, retry_budget_window_us=0))
+    node = driver.gateway.nodes[gateway_driver.node_id(0)]
+    windows = []
+    for _ in range(40):
+        for _ in range(25):
+            while len(driver.gateway.shards[0].waiting[0]) < 40:
+                driver.send_request()
+            driver.pass_time(10_000)
+            for key in list(driver.in_flight):
+                driver.end_attempt(key)
+        windows.append(node.window)
+    assert windows[-1] == 32.0
+    assert all(0 <= after - before <= 1.0 for before, after in pairwise(windows))
--- a/tests/policy/test_hanging_nodes.py
+++ b/tests/policy/test_hanging_nodes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gaugesail.policy import congestion_window
 from gaugesail.policy.actions import RejectRequest
 from gaugesail.policy.events import AttemptResult, EndpointListKind, EndpointState
 
@@ -16,6 +17,11 @@
 CLIENT_TIME_US = 3 * SEC
 
 
+@pytest.fixture(autouse=True)
+def windows_do_not_grow(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(congestion_window, "MAX_WINDOW", congestion_window.INITIAL_WINDOW)
+
+
 def driver_of(aim_us: int) -> Driver:
     only = replace(gateway_driver.CLASSES[0], latency_objective_us=aim_us, deadline_us=CLIENT_TIME_US)
     return Driver(
--- a/tests/policy/test_time_left.py
+++ b/tests/policy/test_time_left.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gaugesail.policy import congestion_window
 from gaugesail.policy.actions import RejectRequest
 from gaugesail.policy.events import AttemptResult, EndpointState
 
@@ -22,6 +23,11 @@
 LATEST_REFUSAL_US = 50_000  # before the end of its time
 
 
+@pytest.fixture(autouse=True)
+def windows_do_not_grow(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(congestion_window, "MAX_WINDOW", congestion_window.INITIAL_WINDOW)
+
+
 class Kind(Enum):
     """How a request comes to wait at a full node."""
 
