Send an idle node the next request, however slow its last answer was

Seen (tests/http, three tests): after one answer that took 3 s, each request with 3 s was refused on arrival, for ever, as the node's fastest answer would not come in its time and no other answer could correct that. Cause: judged requests for a node with nothing in flight by its last answers. Change: a request that finds the node idle is sent while any time is left; only an attempt can show how fast it is now. Test: test_one_slow_answer_does_not_keep_an_idle_node_from_further_requests; it and the three in tests/http failed before. Result: tests/policy and tests/http pass.

--- a/gaugesail/policy/congestion_window.py
+++ b/gaugesail/policy/congestion_window.py
@@ -79,8 +79,8 @@
     def _move_window(self, node: NodeRecord, sums: LatencySums) -> None:
         """Move the window by the FAST TCP rule: window * (1 - r + r * goal / latency).
 
-        It grows by no more than ``MAX_GROWTH``, as all gateways of a node see a gap at once and the answers to
-        what they then send come later.  The goal is the target, or nearer to the lowest latency seen while
+        It grows by no more than ``MAX_GROWTH``, as all gateways of a node see a gap at once, and the answers
+        to what they then send come later.  The goal is the target, or nearer to the lowest latency seen while
         the shard returns.
         """
         bounds = self._recovery.window_bounds(node.shard, MAX_WINDOW)
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -122,8 +122,13 @@
         return self.answer_by - (0 if node is None else int(node.service[self.class_position].mean_us))
 
     def latest_useful_start(self, node: NodeRecord | None) -> int:
-        """Return until when, in microseconds, at least the node's fastest answer would come in time."""
-        return self.answer_by - (0 if node is None else int(node.service[self.class_position].fastest_us))
+        """Return until when, in microseconds, at least the node's fastest answer would come in time.
+
+        Of a node with nothing in flight only another attempt can show how fast it is now.
+        """
+        is_idle = node is None or not node.in_flight
+        fastest_us = 0.0 if node is None or is_idle else node.service[self.class_position].fastest_us
+        return self.answer_by - int(fastest_us)
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/policy/test_time_left.py
+++ b/tests/policy/test_time_left.py
@@ -166,3 +166,14 @@
         driver.end_attempt(next(iter(driver.in_flight)))
     sent = [numbers[start.request_id] for start in driver.started[sent_before:]]
     assert sent == sorted(sent) and len(sent) >= 20
+
+
+def test_one_slow_answer_does_not_keep_an_idle_node_from_further_requests() -> None:
+    """Guards against refusing every request by an answer that no other one can ever correct."""
+    driver = driver_of(500_000, Kind.FIRST)
+    slow = driver.send_request()
+    driver.pass_time(CLIENT_TIME_US - 5_000)
+    driver.end_attempt((slow, 0))
+    driver.pass_time(SEC)
+    number = driver.send_request()
+    assert driver.attempts[number] == 1
