Give uploads their time but for what their node needs, and never tell a node too much

Seen by callers: a large request whose node read it for half of its time was refused, though the rest was enough; and, since requests wait as long as their clients do, one that waited for over half was sent with more time told than its client had. Cause: UPLOAD_SHARE = 0.5 took half of the time for the upload and told half to the node, whatever the node needs. Change: the time kept for the answer is what the node takes until it would hang, by its answers, and half at most (and while nothing is known of it). The upload and the wait have the rest; the policy starts no attempt once the time told is not left. Tests: test_slow_bodies, a node that reads after 2 s of 3 (refused before); test_time_left, no start after the time told.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -196,6 +196,7 @@
                 request.is_retry,
                 request.settings,
                 received_at_us,
+                deadline_us - request.answer_us if request.answer_us else 0,
             )
         )
         return request_id
@@ -217,6 +218,16 @@
             return False
         return True
 
+    def keep_answer_time(self, request: ClientRequest) -> None:
+        """Keep a part of a large request's time for its answer.
+
+        The node is told that much before the request has waited for anything, and it may be told no more than
+        what its client has left: the attempt starts while that is so, or not at all.
+        """
+        gateway = self.policy.gateway
+        name = request.settings.classes[request.class_index].name
+        request.answer_us = gateway.answer_time_us(request.shard, name, request.timeout_us)
+
     def stage_upload(self, request: ClientRequest, source: BodySource) -> BodySink | None:
         """Start writing a large request to its node while it is still being received, withholding its end.
 
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -158,6 +158,7 @@
     volume_id: int = 0
     gateways_in_use: float = 1.0
     is_retry: bool = False
+    answer_us: int = 0  # of its time, kept for the node's answer and told to the node with an upload's head
 
 
 @dataclass(slots=True, eq=False)
--- a/gaugesail/http/client_upload.py
+++ b/gaugesail/http/client_upload.py
@@ -23,9 +23,10 @@
         self._request = request
         self.length = length
         self.sink: BodySink | None = None
+        connection.owner.engine.keep_answer_time(request)
         self._timer = UploadTimer(
             connection.owner.clock,
-            request.timeout_us,
+            request.timeout_us - request.answer_us,
             lambda: not unread(connection.link),
             self._expired,
         )
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -25,7 +25,6 @@
 from .node_state import NodeAddress, NodeState
 from .staged_upload import StagedUpload
 from .stream_handover import NodeStreamState
-from .upload_timer import UPLOAD_SHARE
 
 IDLE_SHARE = 0.6  # of the node's idle timeout: a request written as the node closes would be reset
 SETTLE_US = 5_000  # after an answer: surplus bytes must not be taken for the answer to the next request
@@ -159,8 +158,7 @@
         if self._usable_address(node_id) is None or not self._may_stage():
             return None
         now_us = self.clock.now_us()
-        told_us = int(request.timeout_us * UPLOAD_SHARE)
-        upload = StagedUpload(request.payload, told_us, source, self.finish, self.clock)
+        upload = StagedUpload(request.payload, request.answer_us, source, self.finish, self.clock)
         self._uploads.append(upload)
         request.payload.upload = upload
         upload.request = NodeRequest(None, node_id, now_us, now_us, upload=upload)
--- a/gaugesail/http/upload_timer.py
+++ b/gaugesail/http/upload_timer.py
@@ -12,25 +12,24 @@
 
 from ..core.ports import Clock, DelayedCall
 
-# Of the request's time: the node is told that much, and the rest remains when the upload takes all of it.
-UPLOAD_SHARE = 0.5
 # The client has sent nothing if its socket stays empty for so long, and was read all the time before.
 EMPTY_US = 3_000
 READ_BEFORE_US = 100_000
 
 
 class UploadTimer:
-    """Calls ``expired`` when a client may have waited for UPLOAD_SHARE of ``timeout_us`` (microseconds).
+    """Calls ``expired`` when a client may have waited for ``allowed_us`` microseconds.
 
-    ``is_empty`` tells whether the client's socket has nothing to read.
+    That is its time, less what its node needs for the answer.  ``is_empty`` tells whether the client's socket
+    has nothing to read.
     """
 
     def __init__(
-        self, clock: Clock, timeout_us: int, is_empty: Callable[[], bool], expired: Callable[[], None]
+        self, clock: Clock, allowed_us: int, is_empty: Callable[[], bool], expired: Callable[[], None]
     ) -> None:
         self._clock = clock
         self._is_empty = is_empty
-        self._allowed_us = int(timeout_us * UPLOAD_SHARE)
+        self._allowed_us = allowed_us
         self._expired = expired
         self.complete_after_us = clock.now_us()  # the client had not sent its last byte before then
         self._read_since_us: int | None = 0  # None: the node's back-pressure pauses the client
--- a/gaugesail/policy/admission.py
+++ b/gaugesail/policy/admission.py
@@ -76,6 +76,7 @@
             answer_by=self._answer_by(event.deadline_us),
             ordered_key=ordered_key,
             max_attempts=settings.max_attempts,
+            start_before_us=event.start_before_us,
         )
         self._queue.pending[request.request_id] = request
         if ordered_key is not None:
--- a/gaugesail/policy/events.py
+++ b/gaugesail/policy/events.py
@@ -80,6 +80,7 @@
     is_retry: bool = False  # marked as a retry by the client
     settings: Settings | None = None  # in force when it was received; None: the gateway's present ones
     received_us: int = 0  # when the request was received, if earlier than this event; 0: now
+    start_before_us: int = 0  # its node has been told how long it may take: no attempt from then on; 0: any
 
 
 @dataclass(slots=True, frozen=True)
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -36,7 +36,7 @@
 from .gateway_state import GatewayState
 from .node_table import NodeTable
 from .ordered_keys import OrderedKeys
-from .outlier_detection import OutlierDetector
+from .outlier_detection import HANG_ANSWERS, OutlierDetector
 from .queue_check import QueueCheck
 from .rate_limits import RateLimits
 from .records import NodeRecord, PendingRequest, ShardRecord
@@ -123,6 +123,19 @@
         """
         return self.node_table.node_of(shard)
 
+    def answer_time_us(self, shard: int, class_name: str, time_us: int) -> int:
+        """Return how much of a client's ``time_us`` a node needs to answer a request that it has received.
+
+        That is until it would hang (``outlier_detection``), and as much as for all that comes before, at
+        most.  Of a node that has served none nothing is known: it is half.
+        """
+        record = self.node_table.shards.get(shard)
+        position = self.state.class_positions.get(class_name)
+        if record is None or record.node is None or position is None:
+            return time_us // 2
+        mean_us = record.node.service[position].mean_us
+        return min(time_us // 2, int(HANG_ANSWERS * mean_us)) if mean_us else time_us // 2
+
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Handle a batch of events and return the actions to carry out, in order.
 
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -103,6 +103,7 @@
     ordered_key: OrderedKey | None
     max_attempts: int  # by the settings in force when it was received
     attempts: int = 0
+    start_before_us: int = 0  # its node has been told more time than is left from then on; 0: never
     quota_until: int = 0  # when the quota for its units expires; 0: never
     in_flight: bool = False
     finished: bool = False
@@ -119,7 +120,8 @@
 
         Of a node that has served none of the class nothing is known: it may be fast.
         """
-        return self.answer_by - (0 if node is None else int(node.service[self.class_position].mean_us))
+        mean_us = 0.0 if node is None else node.service[self.class_position].mean_us
+        return self._startable(self.answer_by - int(mean_us))
 
     def latest_useful_start(self, node: NodeRecord | None) -> int:
         """Return until when, in microseconds, at least the node's fastest answer would come in time.
@@ -128,7 +130,10 @@
         """
         is_idle = node is None or not node.in_flight
         fastest_us = 0.0 if node is None or is_idle else node.service[self.class_position].fastest_us
-        return self.answer_by - int(fastest_us)
+        return self._startable(self.answer_by - int(fastest_us))
+
+    def _startable(self, until: int) -> int:
+        return min(until, self.start_before_us) if self.start_before_us else until
 
 
 @dataclass(slots=True, eq=False)
--- a/gaugesail/policy/retry_policy.py
+++ b/gaugesail/policy/retry_policy.py
@@ -45,9 +45,9 @@
 
     def start_before(self, request: PendingRequest) -> int:
         """Return the time before which the next attempt must start, in microseconds; 0: no limit."""
-        if request.possibly_executed_at is None:
-            return request.quota_until
-        return self.deduplicated_until(request)
+        executed = request.possibly_executed_at is not None
+        until = self.deduplicated_until(request) if executed else request.quota_until
+        return min(filter(None, (until, request.start_before_us)), default=0)
 
     def may_reject(self, request: PendingRequest) -> bool:
         """Return whether a request may be rejected, as a retry is harmless; otherwise it must fail."""
--- a/tests/policy/test_time_left.py
+++ b/tests/policy/test_time_left.py
@@ -10,7 +10,7 @@
 
 from gaugesail.policy import congestion_window
 from gaugesail.policy.actions import RejectRequest
-from gaugesail.policy.events import AttemptResult, EndpointState
+from gaugesail.policy.events import AttemptResult, EndpointState, RequestReceived
 
 from ..support import gateway_driver
 from ..support.gateway_driver import SEC
@@ -177,3 +177,25 @@
     driver.pass_time(SEC)
     number = driver.send_request()
     assert driver.attempts[number] == 1
+
+
+def test_an_attempt_starts_only_while_the_time_told_to_its_node_is_left() -> None:
+    """An upload tells its node a time before it has waited for anything."""
+    driver = driver_of(500_000, Kind.FIRST)
+    for _ in range(4):
+        driver.send_request(deadline_after_us=60 * SEC)
+    told_us = SEC
+    deadline_us = driver.now + CLIENT_TIME_US
+    for number in (100, 101):
+        driver.feed(
+            RequestReceived(
+                number, 0, deadline_us, 0, settings=driver.settings, start_before_us=deadline_us - told_us
+            )
+        )
+    driver.pass_time(CLIENT_TIME_US - told_us - 100_000)
+    driver.end_attempt(next(iter(driver.in_flight)))
+    sent = driver.started[-1]
+    assert sent.request_id in (100, 101) and sent.start_before_us == deadline_us - told_us
+    other = 201 - sent.request_id
+    driver.pass_time(100_000 + 20_000)
+    assert isinstance(driver.answers[other], RejectRequest), "it may no longer start"
--- a/tests/process/test_slow_bodies.py
+++ b/tests/process/test_slow_bodies.py
@@ -6,17 +6,25 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from ..support.faulty_process import HOST, HangingNode, at_once, folder_of
 from ..support.gateway_processes import put_request
-from ..support.pressed_gateway import LATEST_ANSWER_S, PressedGateway, ScriptedNode, get_request
+from ..support.pressed_gateway import (
+    LATEST_ANSWER_S,
+    PressedGateway,
+    ScriptedNode,
+    answer_at_once,
+    get_request,
+)
 
 TIMEOUT_S = 3.0
 LATE_S = (0.7, 1.2, 2.0)  # from the head of an answer to its body
 SIZES = (40_000, 101_818, 220_081)
 STUCK_AFTER_BYTES = 3388
+TOLD_SLACK_S = 0.15  # by which the time told to a node may exceed what its client has left
 
 
 def late_body(late_s: float, size: int, framing: str) -> Callable[[socket.socket, dict[str, str]], None]:
@@ -144,3 +152,41 @@
         if not answer[0] or answer[2] > timeout_s + LATEST_ANSWER_S
     }
     assert not late
+
+
+class LateReadingNode(ScriptedNode):
+    """A node that answers small requests at once, and reads the body of a large one only after ``late_s``."""
+
+    def __init__(self, shard: int, late_s: float) -> None:
+        super().__init__(shard, answer_at_once)
+        self._late_s = late_s
+        self.told_s: list[float] = []  # for each large request, in the order of their last bytes
+        self.complete_at: list[float] = []
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+
+    def read_body(self, stream: Any, head: dict[str, str]) -> None:
+        if "upload" in head["request-id"]:
+            time.sleep(self._late_s)
+        super().read_body(stream, head)
+        if "upload" in head["request-id"]:
+            self.told_s.append(int(head["request-timeout-ms"]) / 1000)
+            self.complete_at.append(time.monotonic())
+
+
+@pytest.mark.parametrize("late_s", [0.3, 2.0])
+def test_a_large_request_has_its_time_but_for_what_its_node_needs(tmp_path: Path, late_s: float) -> None:
+    """Guards against refusing an upload at a share of its time, and against telling its node too much."""
+    node = LateReadingNode(0, late_s)
+    gateway = PressedGateway(tmp_path, 192, [node])
+    try:
+        for number in range(5):  # from these the gateway knows how fast the node answers
+            message = put_request(f"small-{number}", 1, 0, TIMEOUT_S)
+            assert read_answer(gateway.port, message, TIMEOUT_S)[0] == 200
+        began = time.monotonic()
+        message = put_request("upload", 1, 0, TIMEOUT_S, b"x" * 3_000_000)
+        status, _, took_s = read_answer(gateway.port, message, TIMEOUT_S + 1.0)
+    finally:
+        gateway.close()
+    assert status == 200 and took_s <= TIMEOUT_S
+    (told_s,), (complete_at,) = node.told_s, node.complete_at
+    assert told_s <= began + TIMEOUT_S - complete_at + TOLD_SLACK_S
