Refuse at once, with the time, what a plan's limit has no units for in its client's time

Seen by callers: over a plan's limit a request was held until its time was nearly over and then refused, though the rate of the limit told from the start that no units would come before. Cause: Dispatcher._is_blocked holds what has no units; nothing compared the wait with the client's time. Change: QueueCheck adds up the units that a volume's requests need, in the order of their time, and refuses those whose units come too late, as refused_limit_*, with the time at which they would be there. A bucket without a rate waits for its quota.

--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -10,7 +10,7 @@
 from .backlog import drained_per_s
 from .gateway_state import GatewayState
 from .node_table import NodeTable
-from .records import NodeRecord, PendingRequest, ShardRecord
+from .records import NodeRecord, PendingRequest, ShardRecord, VolumeBudget
 from .recovery import RecoveryRamp
 from .rejections import RejectionReason
 from .request_queue import RequestQueue
@@ -45,6 +45,8 @@
             for request in [request for waiting in shard.waiting for request in waiting]:
                 self._check(request, shard)
             self._reject_in_outage(number, shard)
+            for request, turn_us in self._over_limit(shard):
+                self._queue.reject(request, RejectionReason.OVER_LIMIT, turn_us)
             for request, turn_us in self._overflow(shard):
                 self._queue.reject(request, RejectionReason.QUEUE_TOO_LONG, turn_us)
             if any(shard.waiting):
@@ -84,6 +86,28 @@
             if now + outage_us > request.latest_start(shard.node) and not request.any_shard:
                 self._queue.reject(request, RejectionReason.UNAVAILABLE)
 
+    def _over_limit(self, shard: ShardRecord) -> list[Overflow]:
+        """Return the requests that their plan's limit has no units for before their latest start.
+
+        A volume's requests get units in the order of their time.  Without a rate, a quota may still come.
+        """
+        waiting = [
+            request
+            for requests in shard.waiting
+            for request in requests
+            if request.volume.plan.limit and not request.attempts
+        ]
+        units: dict[VolumeBudget, float] = {}
+        overflow = []
+        for request in sorted(waiting, key=lambda request: request.answer_by):
+            needed = units.get(request.volume, 0.0) + request.units
+            wait_us = request.volume.limit_bucket.wait_us(self._state.now, needed)
+            if wait_us < float("inf") and self._state.now + wait_us > request.latest_start(shard.node):
+                overflow.append(Overflow(request, wait_us))
+            else:
+                units[request.volume] = needed
+        return overflow
+
     def _overflow(self, shard: ShardRecord) -> list[Overflow]:
         """Return the requests behind more others than are sent before their latest start.
 
--- a/gaugesail/policy/rejections.py
+++ b/gaugesail/policy/rejections.py
@@ -14,6 +14,7 @@
     RETRY_NOT_ALLOWED = "no_repeat"  # an attempt failed, and another one is not allowed
     IN_MAINTENANCE = "away"  # the node of its shard is in maintenance
     OUT_OF_TIME = "out_of_time"  # it waited until not even a fast answer would reach its client
+    OVER_LIMIT = "limit"  # its plan's limit has no units for it in its client's time
     QUEUE_TOO_LONG = "hopeless"  # the requests before it cannot all be sent in its client's time
 
 
--- a/gaugesail/policy/token_bucket.py
+++ b/gaugesail/policy/token_bucket.py
@@ -61,6 +61,14 @@
         self.leased_rate = rate
         self.leased_burst = burst
 
+    def wait_us(self, now: int, units: float) -> float:
+        """Return the microseconds until it holds ``units`` at the present rate; infinite without a rate."""
+        missing = units - self.units
+        if missing <= 0:
+            return 0.0
+        rate = min(self.plan.limit, self.own_rate + self.leased_rate)
+        return max(0.0, self.filled_at - now + missing / rate * 1e6) if rate else float("inf")
+
     @property
     def is_full(self) -> bool:
         """Whether a new bucket could not hold more units; a bucket without a limit is always full."""
