--- a/gaugesail/policy/dispatch.py
+++ b/gaugesail/policy/dispatch.py
@@ -1,7 +1,7 @@
 """Which waiting request is sent to a node next.
 
 While the window of a node allows it, the unblocked request that is first in the order of ``service_order`` is
-sent; of those with the same claim, one whose class has a free slot.
+sent; within the reserves, and again beyond them, classes with a free slot go first.
 """
 
 from __future__ import annotations
