Count an outage from its first evidence, not anew when the list tells of it

Cause: outage_us and Retry-After counted from the latest phase, which begins again when the list shows what attempts had found. Change: ShardHealth.unavailable_since begins with the first phase of an outage. Test: test_an_outage_that_the_list_tells_late_counts_from_the_first_failures, which fails before.

--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -181,7 +181,7 @@
         recovery = self.shards.get(shard)
         if recovery is None or not recovery.health.is_unavailable:
             return 0
-        return now - recovery.health.phase_since
+        return now - recovery.health.unavailable_since
 
     def update_capacity(self, now: int, shard: int, node: NodeRecord | None, process_count: int) -> None:
         """Advance a shard's queue to ``now`` and update the capacity that it has from its node."""
--- a/gaugesail/policy/retry_after.py
+++ b/gaugesail/policy/retry_after.py
@@ -81,7 +81,7 @@
         The endpoint list shows a returning node only after its usual delay; until then, and at a node that
         fails, the outage is taken to last as long again as it has.
         """
-        outage_us = max(SHORTEST_LIST_DELAY_US, now - health.phase_since)
+        outage_us = max(SHORTEST_LIST_DELAY_US, now - health.unavailable_since)
         if health.phase is ShardPhase.FAILING:
             return max(outage_us, health.trial_at - now)
         if self.list_delays_us:
--- a/gaugesail/policy/shard_health.py
+++ b/gaugesail/policy/shard_health.py
@@ -48,6 +48,10 @@
     trial_wait_us: int = FIRST_TRIAL_WAIT_US
     trial_at: int = 0  # earliest time of the next trial of a failing node
     listed_start_us: int = 0  # start of the latest node, on discovery's clock
+    unavailable_since: int = 0  # when the present or latest outage began, whatever phases it has had
+
+    def __post_init__(self) -> None:
+        self.unavailable_since = self.phase_since
 
     @property
     def is_unavailable(self) -> bool:
@@ -66,6 +70,8 @@
 
     def enter(self, phase: ShardPhase, now: int, reason: str) -> None:
         """Change the phase; the caller has advanced the recovery queue to ``now``."""
+        if not self.is_unavailable:
+            self.unavailable_since = now
         self.phase = phase
         self.phase_since = now
         self.reason = reason
--- a/tests/policy/test_recovery.py
+++ b/tests/policy/test_recovery.py
@@ -306,6 +306,15 @@
     assert not ramp.outage_us(NOW + 9 * SEC, 0)
 
 
+def test_an_outage_that_the_list_tells_late_counts_from_the_first_failures() -> None:
+    ramp = recovery()
+    for _ in range(4):
+        ramp.attempt_ended(NOW, pending_request(ramp), AttemptResult.RESET)
+    assert phase(ramp) is ShardPhase.FAILING
+    ramp.node_removed(NOW + 3 * SEC, 0, "removed")
+    assert phase(ramp) is ShardPhase.DOWN and ramp.outage_us(NOW + 4 * SEC, 0) == 4 * SEC
+
+
 def test_a_client_that_disconnected_has_one_ticket() -> None:
     ramp = recovery()
     ramp.node_removed(NOW, 0, "removed")
