Revert the place of silent new connections: a crowd kept others waiting past their time

Cause: with half of the shortest deadline (1.9 s there) a silent connection held its place 7 times as long as before; those that came behind a crowd waited in the kernel for several such turns. Result: the tests are those of before again.

--- a/gaugesail/http/client_limits.py
+++ b/gaugesail/http/client_limits.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from gaugesail.policy.settings import Settings
-
 # For a header section; also from the opening of a connection to the end of its first header section.
 HEAD_TIMEOUT_US = 2_500_000
 BODY_TIMEOUT_US = 2_500_000  # longest gap in a body
@@ -11,6 +9,7 @@
 CLOSING_READER_US = 5_000_000  # after this a closing connection is ended, whatever it has not read
 # Idle time after which a connection may be closed in favour of another.
 USED_CONNECTION_US = 2_000_000
+UNUSED_CONNECTION_US = 250_000  # no request received; a crowd that says nothing must not hold all places
 LINGER_US = 1_000_000  # after an error: time for the client to read it, whatever it still sends
 SHORT_LINGER_US = 250_000  # the same while all places are in use
 EVICTED_PLACES_DIVISOR = 2  # 1/2 of the places in one sweep, while all are in use
@@ -33,21 +32,13 @@
     return min(last_byte_us, since_us + received_bytes * 1_000_000 // BODY_BYTES_PER_S) + BODY_TIMEOUT_US
 
 
-def unused_connection_us(settings: Settings) -> int:
-    """How long a connection without a request keeps its place while others wait for one, in microseconds.
-
-    Whoever has waited for that long still has as much of its time, by the clients that wait the shortest.
-    """
-    return min(USED_CONNECTION_US, settings.shortest_deadline_us // 2)
-
-
-def closing_priority(idle_us: int, requests_received: int, unused_us: int) -> int:
+def closing_priority(idle_us: int, requests_received: int) -> int:
     """Rank an idle connection for closing in favour of another: 0 never, 3 first.
 
     A request that a client sends as the gateway closes the connection fails.  So connections with several
-    requests rank last, and one that was just used, or opened less than ``unused_us`` ago, is not closed.
+    requests rank last, and one that was just used is not closed.
     """
-    if idle_us < (USED_CONNECTION_US if requests_received else unused_us):
+    if idle_us < (USED_CONNECTION_US if requests_received else UNUSED_CONNECTION_US):
         return 0
     if requests_received > 1:
         return 1
--- a/gaugesail/http/client_owner.py
+++ b/gaugesail/http/client_owner.py
@@ -24,7 +24,6 @@
     holders: MemoryHolders
     turns: ReadTurns
     reader: RequestReader
-    unused_us: int  # time in which a new connection is not closed for another one
     retry_after_us: int  # Retry-After of rejections for which the policy names no time
     excess_input: int  # bytes buffered for all clients beyond what each may always have
     closing: bool
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -20,7 +20,7 @@
 from .client_limits import (
     EVICTED_PLACES_DIVISOR,
     PIPELINED_EXCESS_DIVISOR,
-    unused_connection_us,
+    UNUSED_CONNECTION_US,
 )
 from .client_sweep import priority_to_close, sweep
 from .request_reader import RequestReader
@@ -64,7 +64,6 @@
         """Apply changed settings to the requests received from now on."""
         self.reader = RequestReader(settings)
         self.retry_after_us = settings.longest_retry_after_us
-        self.unused_us = unused_connection_us(settings)
 
     # ---- capacity ----
 
@@ -118,7 +117,7 @@
             connection
             for connection in self._open
             if connection.idle
-            and (connection.requests_received or now_us - connection.opened_at_us > self.unused_us)
+            and (connection.requests_received or now_us - connection.opened_at_us > UNUSED_CONNECTION_US)
             and not unread(connection.link)
         ]
 
@@ -143,7 +142,7 @@
     def _was_silent_in_kernel(self, connection: ClientConnection) -> bool:
         """Whether a new connection has waited for its place without sending anything."""
         waited_us = kernel_wait_us(connection.link, self.clock)
-        return waited_us > self.unused_us and not unread(connection.link)
+        return waited_us > UNUSED_CONNECTION_US and not unread(connection.link)
 
     def used(self, connection: ClientConnection) -> None:
         """Move a connection to the end of the order of use."""
--- a/gaugesail/http/client_sweep.py
+++ b/gaugesail/http/client_sweep.py
@@ -65,6 +65,4 @@
     """Rank a connection for closing in favour of another: 0 never, 3 first."""
     if not connection.idle:
         return 0
-    return closing_priority(
-        now_us - connection.last_used_us, connection.requests_received, connection.owner.unused_us
-    )
+    return closing_priority(now_us - connection.last_used_us, connection.requests_received)
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -12,7 +12,6 @@
 
 from ..buffers import Body, PoolEmpty
 from ..core.ports import BodySource, ClientRequest, FailureReason
-from ..http.client_limits import unused_connection_us
 from ..memory_budget import REQUEST_RECORD_BYTES
 from ..net import Connection, unread
 from ..output_progress import UNREAD_US
@@ -45,6 +44,7 @@
 COMMAND_WINDOW = 32  # commands that a session may have in flight
 MAX_TRANSFER_BYTES = 256 * 1024  # with COMMAND_WINDOW it bounds the memory that one slow client can use
 LOGIN_TIMEOUT_US = 2_500_000  # for a login, and for the reception of one PDU
+LOGIN_DELAY_US = 250_000  # after which a session without a login may be closed in favour of another
 CLOSING_US = 10_000_000  # after which a session that is closing ends, whatever its client has not read
 MAX_READS_AHEAD = 4  # of a connection, before the next reactor iteration reads it
 # Sense keys, then additional sense codes with their qualifiers (SCSI Primary Commands).
@@ -269,9 +269,8 @@
             self._partial_since_us = self._front.clock.now_us()
 
     def is_login_late(self, now: int) -> bool:
-        """Whether the login is missing for so long that another session may take its place."""
-        missing = self._state == "login" and not self._closing
-        return missing and now - self._phase_since_us >= unused_connection_us(self._front.settings)
+        """Whether the login is missing after LOGIN_DELAY_US, so that another session may take its place."""
+        return self._state == "login" and not self._closing and now - self._phase_since_us >= LOGIN_DELAY_US
 
     def _dispatch(self, pdu: Pdu) -> None:
         if self._state == "login":
--- a/gaugesail/policy/gateway_state.py
+++ b/gaugesail/policy/gateway_state.py
@@ -41,8 +41,8 @@
     def update_settings(self, settings: Settings) -> None:
         """Replace the settings."""
         self.settings = settings
-        longest_tick_us = min(MAX_TICK_US, settings.shortest_deadline_us // TICKS_PER_DEADLINE)
-        self.tick_us = max(settings.tick_us, longest_tick_us)
+        shortest = min(request_class.deadline_us for request_class in settings.classes)
+        self.tick_us = max(settings.tick_us, min(MAX_TICK_US, shortest // TICKS_PER_DEADLINE))
         self.retry_policy = RetryPolicy(backoff_us=self.tick_us, deduplication_margin_us=self.tick_us)
         self._update_classes(settings)
 
--- a/gaugesail/policy/settings.py
+++ b/gaugesail/policy/settings.py
@@ -153,11 +153,6 @@
     recovery_queue: bool = True  # clients rejected at an unavailable or recovering shard get a turn
     load_report_fields: tuple[str, ...] = field(default=())
 
-    @property
-    def shortest_deadline_us(self) -> int:
-        """The time of the clients that wait the shortest, in microseconds."""
-        return min(request_class.deadline_us for request_class in self.classes)
-
     @property
     def longest_retry_after_us(self) -> int:
         """The longest Retry-After time that clients may get, in microseconds; 0: they get none."""
--- a/tests/process/test_operations.py
+++ b/tests/process/test_operations.py
@@ -243,7 +243,7 @@
 def test_the_successor_gets_the_client_places_that_the_predecessor_leaves_free() -> None:
     flood = "".join(f"client s{n}\n" for n in range(12))
     requests = "".join(f"send s{n} {'connect' if n < 9 else 'get /_health'}\n" for n in range(12))
-    text = f"daemon http limits.sockets=116\n{flood}client c1\n{requests}wait 1.6\nexpect s11 200\n"
+    text = f"daemon http limits.sockets=116\n{flood}client c1\n{requests}wait 0.3\nexpect s11 200\n"
     old, new = play(text + "send daemon replace\nwait 0.3\nexpect c1 nothing").gateways
     part = old._config.limits.of(2).client_connections
     assert part == 11 and old.front.connections == 3, (
