--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -46,7 +46,7 @@
         """Reject the requests that cannot be served in time; move those that another shard may serve."""
         self._runs += 1
         for number, shard in list(self._node_table.shards.items()):
-            for request in [request for waiting in shard.waiting for request in waiting]:
+            for request in shard.queued:
                 self._check(request, shard)
             self._reject_in_outage(number, shard)
             for request, turn_us in self._over_limit(shard):
@@ -87,7 +87,7 @@
         outage_us = self._recovery.outage_us(now, number)
         if not outage_us:
             return
-        waiting = [request for requests in shard.waiting for request in requests]
+        waiting = shard.queued
         if shard.node is not None:
             waiting.sort(key=lambda request: request.answer_by)
             waiting = waiting[1:]
@@ -100,12 +100,7 @@
 
         A volume's requests get units in the order of their time.  Without a rate, a quota may still come.
         """
-        waiting = [
-            request
-            for requests in shard.waiting
-            for request in requests
-            if request.volume.plan.limit and not request.attempts
-        ]
+        waiting = [request for request in shard.queued if request.volume.plan.limit and not request.attempts]
         units: dict[VolumeBudget, float] = {}
         overflow = []
         for request in sorted(waiting, key=lambda request: request.answer_by):
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -217,6 +217,11 @@
         self.arrivals = [0] * self.class_count
         self.previous_queue_lengths = [0] * self.class_count
 
+    @property
+    def queued(self) -> list[PendingRequest]:
+        """The waiting requests of all classes."""
+        return [request for requests in self.waiting for request in requests]
+
     def add_classes(self, count: int) -> None:
         """Extend the lists to ``count`` classes."""
         for _ in range(count - len(self.waiting)):
--- a/gaugesail/policy/retry_after.py
+++ b/gaugesail/policy/retry_after.py
@@ -50,8 +50,6 @@
 
         :param backlog_us: until the shard has worked off what waits there.
         """
-        if not self.can_be_spread:
-            return self.longest_us
         longest = min(self.longest_us, max(2 * SHORTEST_US, int(SPREAD * backlog_us)))
         return self._schedule.choose(now, max(SHORTEST_US, int(longest / SPREAD)), longest)
 
@@ -71,7 +69,7 @@
         return wait
 
     def _for_outage(self, now: int, expected_us: int) -> int:
-        """Return a time in the second half of the time that is expected."""
+        """Return a time between half and all of what is expected, so that few clients come at once."""
         longest = min(self.longest_us, max(2 * SHORTEST_US, expected_us))
         return self._schedule.choose(now, longest // 2, longest)
 
--- a/gaugesail/policy/service_order.py
+++ b/gaugesail/policy/service_order.py
@@ -27,7 +27,7 @@
     A reserve counts with what it accrues until the answer of each request is due.
     """
     by_volume: dict[VolumeBudget, list[PendingRequest]] = {}
-    for request in sorted(_waiting(shard), key=lambda request: request.answer_by):
+    for request in sorted(shard.queued, key=lambda request: request.answer_by):
         by_volume.setdefault(request.volume, []).append(request)
     reserved: list[PendingRequest] = []
     beyond: list[list[PendingRequest]] = []  # of each volume, the last to go first
@@ -37,10 +37,6 @@
     return ServiceOrder(reserved, _by_spare_share(shard, [requests for requests in beyond if requests]))
 
 
-def _waiting(shard: ShardRecord) -> list[PendingRequest]:
-    return [request for requests in shard.waiting for request in requests]
-
-
 def _split_off_reserved(
     volume: VolumeBudget, requests: list[PendingRequest], now: int, reserved: list[PendingRequest]
 ) -> list[PendingRequest]:
--- a/gaugesail/policy/slow_start.py
+++ b/gaugesail/policy/slow_start.py
@@ -142,7 +142,7 @@
         The part is deducted before the message is sent.
         """
         capacity = self.capacity(now, node, process_count, False)
-        largest = max((request.units for queue in shard.waiting for request in queue), default=0.0)
+        largest = max((request.units for request in shard.queued), default=0.0)
         spare = (capacity.available_units - largest) / capacity.unserved_units
         requesters = node.share_requesters.items()
         peer = next((peer for peer, asked_at in requesters if now - asked_at < SHARE_REQUEST_US), None)
