--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,9 +13,9 @@
 )  # fmt: skip
 
 CLIENTS = 6
-PIECE, PIECES, GAP_S = 16_000, 80, 0.05  # the large answer: 1.3 MB over 3.7 s
+PIECE, PIECES, GAP_S = 16_000, 96, 0.05  # the large answer: 1.5 MB over 4.5 s
 BODY = 3_000  # of each command behind it
-COMMANDS = 300  # behind it, 1 MB
+COMMANDS = 450  # behind it, 1.5 MB
 SLICE, BYTES_PER_S = 7_001, 330_000  # a client writes in pieces that do not end where its commands end
 
 
