Review cases: stand-ins beside the cases, and each case writes its own record.txt

Cause: review/ holds no folders but the cases', and a case has to write the record in its own folder; both were left to the shared folder kit-2.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,8 +6,9 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "kit-2"))
-from standins import (  # noqa: E402
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(HERE))
+from standins_2 import (  # noqa: E402
     BROKEN, HELD, TROUBLE, Brick, category, contract, main, new_id, read_head, request_bytes, site_settings,
 )  # fmt: skip
 
@@ -117,4 +118,4 @@
     return BROKEN if lost else HELD
 
 
-main(case)
+main(case, os.path.join(HERE, "record.txt"))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,8 +6,9 @@
 import signal
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "kit-2"))
-from standins import (  # noqa: E402
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(HERE))
+from standins_2 import (  # noqa: E402
     BROKEN, HELD, TROUBLE, Brick, NotRun, category, contract, free_ports, main, new_id, read_head, read_body,
     request_bytes, site_settings,
 )  # fmt: skip
@@ -120,4 +121,4 @@
     return BROKEN if wrong or foreign or foreign_answers else HELD
 
 
-main(case)
+main(case, os.path.join(HERE, "record.txt"))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,9 +4,10 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "kit-2"))
-from scsi import BLOCK, GOOD, Initiator, Node  # noqa: E402
-from standins import BROKEN, HELD, TROUBLE, NotRun, free_ports, main  # noqa: E402
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(HERE))
+from scsi_2 import BLOCK, GOOD, Initiator, Node  # noqa: E402
+from standins_2 import BROKEN, HELD, TROUBLE, NotRun, free_ports, main  # noqa: E402
 
 TARGET = "iqn.2026-12.ee.example:covers"
 USUAL_S, COSTLY_S = 0.08, 1.2  # a write is 58 to 93 ms of work; a costly one takes 10 to 29 times as much
@@ -101,4 +102,4 @@
     return BROKEN if wrong else HELD
 
 
-main(case)
+main(case, os.path.join(HERE, "record.txt"))
--- a/review/kit-2/scsi.py
+++ b/review/scsi_2.py
@@ -5,7 +5,7 @@
 import asyncio
 import struct
 
-from standins import Record
+from standins_2 import Record
 
 NOP_OUT, COMMAND, TASK, LOGIN, DATA_OUT, LOGOUT = 0x00, 0x01, 0x02, 0x03, 0x05, 0x06
 NOP_IN, RESPONSE, TASK_RESPONSE, LOGIN_RESPONSE, DATA_IN, LOGOUT_RESPONSE, R2T = (
--- a/review/kit-2/standins.py
+++ b/review/standins_2.py
@@ -17,7 +17,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -27,11 +27,11 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt, with the seconds since the start."""
+    """Writes what was sent, answered and run to a case's record, with the seconds since the start."""
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, file: str) -> None:
         self._start = time.monotonic()
-        self._file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self._file = open(file, "w", encoding="utf-8")
 
     def __call__(self, text: str) -> None:
         self._file.write(f"{time.monotonic() - self._start:9.4f} {text}\n")
@@ -364,9 +364,9 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(case) -> None:  # noqa: ANN001
+def main(case, record_file: str) -> None:  # noqa: ANN001
     """Run ``case(world, record)``, which returns HELD or BROKEN, within 110 s; exit with its result."""
-    record = Record(os.path.dirname(os.path.abspath(sys.argv[0])))
+    record = Record(record_file)
     record(f"TROUBLE={int(TROUBLE)}")
 
     async def run() -> int:
