Keep answers that are read while memory is wanted, and refuse new work instead

Cause: only unread answers and arriving requests were holders, so they paid for all that waits; a client without a byte for 0.25 s counted as stalled, though a kernel opens its window in larger steps; and a streamed answer was charged what the budget already sets aside for its connection.

Change: a connection's part by the budget is not charged, so that a streamed answer holds no buffers. Stalled is who rests longer than a 64 KiB step takes at 64 kB/s, or than twice the longest rest that it ended (PeerProgress; readers, senders, uploads, places; both fronts). If none has stalled the new request is refused, and for a node's answer the latest waiting or arriving request. A closed connection is aborted 60 s after its client last read, not after the close.

--- a/gaugesail/buffers.py
+++ b/gaugesail/buffers.py
@@ -17,8 +17,9 @@
 class BufferPool:
     """Lends buffers of ``size`` bytes, at most ``limit`` at a time.
 
-    Memory that is held in another form is counted by ``charge``, as so many buffers.  ``make_room`` is called
-    when the limit is reached; it returns whether it has freed any.
+    Memory that is held in another form is counted by ``charge``, as so many buffers.  When the limit is
+    reached, ``make_room`` is called, and for answers ``refuse_new_work`` after it: a node has worked on what
+    is being answered.  Each returns whether it has freed any.
 
     :param io_bytes: what is read at once from a connection, and written before its source is paused.
     """
@@ -29,6 +30,7 @@
         self.size, self.limit, self.out = size, limit, 0
         self.io_bytes = io_bytes
         self.make_room: Callable[[], bool] = lambda: False
+        self.refuse_new_work: Callable[[], bool] = lambda: False
         self._free = list[bytearray]()
 
     def trim(self, limit: int, io_bytes: int) -> None:
@@ -42,12 +44,13 @@
         """The number of buffers up to which bodies of more than one may take further ones."""
         return self.limit - self.limit // SMALL_BODY_DIVISOR
 
-    def acquire(self, is_first: bool = True) -> bytearray:
+    def acquire(self, is_first: bool = True, for_answer: bool = False) -> bytearray:
         """Return a buffer; raises PoolEmpty if the limit is reached.
 
-        :param is_first: of its body; further ones leave a part of the pool to small bodies.
+        :param is_first: of its body; further ones of a request leave a part of the pool to small bodies.
         """
-        self.reserve(1, self.limit if is_first else self.large_body_limit)
+        limit = self.limit if is_first or for_answer else self.large_body_limit
+        self.reserve(1, limit, for_answer)
         return self._free.pop() if self._free else bytearray(self.size)
 
     def release(self, buffer: bytearray) -> None:
@@ -56,24 +59,27 @@
         if len(self._free) < self.limit // KEPT_DIVISOR:
             self._free.append(buffer)
 
-    def reserve(self, count: int, limit: int | None = None) -> None:
+    def reserve(self, count: int, limit: int | None = None, for_answer: bool = False) -> None:
         """Count ``count`` buffers as lent; raises PoolEmpty, and counts none, if they exceed the limit.
 
         :param limit: up to which these may be lent, by default that of the pool.
+        :param for_answer: whether they are for an answer, for which new work is refused.
         """
         limit = self.limit if limit is None else limit
         while self.out + count > limit:
-            if not self.make_room():
+            if not (self.make_room() or (for_answer and self.refuse_new_work())):
                 raise PoolEmpty(f"{self.out} of {limit} buffers of {self.size} bytes are in use")
         self.out += count
 
-    def charge(self, byte_count: int) -> int:
-        """Count memory that is held already, even beyond the limit; returns the number of buffers."""
-        count = -(-byte_count // self.size)
-        self.out += count
-        if self.out > self.limit:
-            self.make_room()
-        return count
+    def buffers_for(self, byte_count: int) -> int:
+        """The number of buffers that hold so many bytes."""
+        return -(-byte_count // self.size)
+
+    def charge(self, byte_count: int) -> None:
+        """Count memory that an answer holds already, even beyond the limit."""
+        self.out += self.buffers_for(byte_count)
+        while self.out > self.limit and (self.make_room() or self.refuse_new_work()):
+            pass
 
     def refund(self, count: int) -> None:
         """Count ``count`` buffers of ``reserve`` or ``charge`` as returned."""
@@ -81,18 +87,22 @@
 
 
 class Body:
-    """The bytes of one message, in pooled buffers, which ``release`` returns to the pool."""
+    """The bytes of one message, in pooled buffers, which ``release`` returns to the pool.
+
+    :param is_answer: whether it is the answer to a request, for which new work is refused.
+    """
 
-    __slots__ = ("_buffers", "_pool", "_reserved", "length")
+    __slots__ = ("_buffers", "_is_answer", "_pool", "_reserved", "length")
 
-    def __init__(self, pool: BufferPool) -> None:
+    def __init__(self, pool: BufferPool, is_answer: bool = False) -> None:
         self._pool, self.length = pool, 0
+        self._is_answer = is_answer
         self._buffers: list[bytearray] = []
         self._reserved = 0
 
     def reserve(self, byte_count: int) -> None:
         """Count further memory that is held with the body; raises PoolEmpty if the limit is reached."""
-        count = -(-byte_count // self._pool.size)
+        count = self._pool.buffers_for(byte_count)
         self._pool.reserve(count)
         self._reserved += count
 
@@ -102,7 +112,7 @@
         while view:
             used = self.length % size
             if used == 0:
-                self._buffers.append(self._pool.acquire(not self._buffers))
+                self._buffers.append(self._pool.acquire(not self._buffers, self._is_answer))
             part = view[: size - used]
             self._buffers[-1][used : used + len(part)] = part
             self.length += len(part)
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -260,6 +260,19 @@
             if in_flight.ended and not entry.may_have_run:
                 self.request_ids.forget(name)
 
+    def refuse_latest_waiting(self) -> bool:
+        """Refuse the latest received request that was never sent to a node, as its memory is needed.
+
+        Returns whether there was one.
+        """
+        for request_id, entry in reversed(self._open.items()):
+            if not entry.attempts:
+                self.counts["rejected_for_memory"] += 1
+                self._answers.reject(request_id, entry.request.settings.longest_retry_after_us)
+                self.policy.add(ClientDisconnected(request_id))
+                return True
+        return False
+
     def closed_unanswered(self, request_id: int) -> None:
         """Report that the client server closed the connection of this request before its answer."""
         if (entry := self._open.get(request_id)) is not None:
--- a/gaugesail/http/answer_stream.py
+++ b/gaugesail/http/answer_stream.py
@@ -24,6 +24,7 @@
     def write(self, data: bytes) -> None:
         """Write the next bytes of the body to the client."""
         if not self._connection.lost and data:
+            self._connection.stream_bytes_come(len(data))
             self._connection.link.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
 
     def finish(self) -> None:
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -137,10 +137,10 @@
 
     def pauseProducing(self) -> None:
         """The client reads too slowly: pause the source of a streamed answer."""
-        self.output.filled(self.link, self)
+        self.output.filled(self.link)
         if self.stream is not None:
             self.stream.source.pause()
-        self.output.charge(self.unsent_bytes)
+        self.output.charge(self.unsent_bytes, self)
 
     def resumeProducing(self) -> None:
         """The client has read what was written: continue."""
@@ -156,11 +156,19 @@
 
     # ---- memory ----
 
-    def stalled_since_us(self) -> int:
-        """When the client has last sent or read anything."""
+    def stalled_at_us(self) -> int:
+        """When the client counts as stalled if it neither sends nor reads anything until then."""
         if self.output.full:
-            return self.output.since_us
-        return self.owner.clock.now_us() if self.input.paused else self.last_received_us
+            self.output.sample(self.link)
+            return self.output.stalled_at_us
+        if self.input.stopped:
+            return self.owner.clock.now_us()  # it waits for us
+        return self.input.steps.stalled_at_us
+
+    @property
+    def is_new_work(self) -> bool:
+        """Whether only a request that is arriving holds memory."""
+        return self.arriving
 
     def evict(self) -> None:
         """Give up what the client holds: reject a request that is arriving, or abort an unread answer."""
@@ -404,10 +412,15 @@
 
     def _add_stream(self, source: BodySource, chunked: bool) -> AnswerStream:
         self._request_id = 0
-        self.unsent_bytes = 2 * self.owner.pool.io_bytes
         self.stream = AnswerStream(self, source, chunked)
         return self.stream
 
+    def stream_bytes_come(self, byte_count: int) -> None:
+        """Note how much of a streamed answer is written next: its first part may be a whole buffered body."""
+        self.unsent_bytes = byte_count
+        if self.output.full:
+            self.output.charge(byte_count, self)
+
     def stream_finished(self) -> None:
         """The streamed answer is complete."""
         self.stream = None
--- a/gaugesail/http/client_input.py
+++ b/gaugesail/http/client_input.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..net import kernel_wait_us
+from ..peer_progress import PeerProgress
 from .arrival_times import ArrivalTimes
 from .client_limits import MAX_PIPELINED_EXCESS_BYTES
 from .client_owner import ClientOwner
@@ -22,6 +23,7 @@
         self.excess = 0  # bytes beyond what each client may always have buffered
         self.paused = False  # by the back-pressure of a node
         self.waits_for_turn = False
+        self.steps = PeerProgress()
         self._stopped_at_us = 0
         self.since_us = 0  # when the arriving part of a request started, or became the next to be read
 
@@ -30,6 +32,9 @@
         arrived_us = now_us - kernel_wait_us(link, self._owner.clock)
         if self.parser.between_messages:
             self.since_us = now_us
+            self.steps.begin(now_us)
+        else:
+            self.steps.advance(now_us)
         self.parser.feed(data)
         self._arrivals.record(self.parser.bytes_fed, self.parser.bytes_read, arrived_us)
 
@@ -67,6 +72,7 @@
         now_us = self._owner.clock.now_us()
         if not self.stopped:
             self.since_us += now_us - self._stopped_at_us  # the gateway's pauses do not count
+            self.steps.begin(now_us)
             link.resumeProducing()
         return now_us
 
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -57,7 +57,7 @@
         self.limit(capacity)
         self._open: OrderedDict[ClientConnection, None] = OrderedDict()  # the latest used is last
         self.turns = ReadTurns(clock)
-        self.holders = MemoryHolders(pool, clock, self._count_eviction)
+        self.holders = MemoryHolders(pool, clock, self._count_eviction, engine.refuse_latest_waiting)
         self.excess_input = 0
 
     def change_settings(self, settings: Settings) -> None:
--- a/gaugesail/http/client_sweep.py
+++ b/gaugesail/http/client_sweep.py
@@ -23,8 +23,9 @@
     """End a connection whose request arrives too slowly, or whose client reads or sends nothing."""
     counts = connection.owner.engine.counts
     if connection.output.full or connection.closing:
-        full = connection.output.full
-        since_us = connection.output.sample(connection.link) if full else connection.blocked_since_us
+        since_us = connection.output.sample(connection.link)
+        if connection.closing:  # what its kernel has may be read long after the last byte was written
+            since_us = max(since_us, connection.blocked_since_us)
         _sweep_output(connection, now_us - since_us)
     elif connection.input.stopped and connection.disconnected:
         pass  # ``disconnected`` has aborted it
--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -207,7 +207,7 @@
     def _body_is_late(self, request: NodeRequest) -> None:
         self._head_timer = None
         if self._request is request and self._sink is None and self._head is not None:
-            self._start_stream(self._head, self._body or Body(self._pool.buffers))
+            self._start_stream(self._head, self._body or Body(self._pool.buffers, is_answer=True))
 
     def _cancel_head_timer(self) -> None:
         timer, self._head_timer = self._head_timer, None
@@ -222,7 +222,7 @@
         if head is None or head.status != 200:
             return
         if self._body is None:
-            self._body = Body(self._pool.buffers)
+            self._body = Body(self._pool.buffers, is_answer=True)
         self._body.append(data)
         # Small answers arrive within 20 ms, whatever their framing.  A larger one without a length is
         # recognised by the time that its first bytes take.
--- a/gaugesail/http/staged_upload.py
+++ b/gaugesail/http/staged_upload.py
@@ -12,6 +12,7 @@
 from gaugesail.policy.events import AttemptResult
 
 from ..core.ports import BodySource, Clock
+from ..peer_progress import PeerProgress
 from .forwarded_request import ForwardedRequest
 from .node_connection import NodeConnection
 from .node_request import NodeRequest
@@ -39,7 +40,8 @@
         clock: Clock,
     ) -> None:
         self._clock = clock
-        self._received_us = clock.now_us()  # when the latest bytes of the body were received
+        self._steps = PeerProgress()  # of the client, with the body
+        self._steps.begin(clock.now_us())
         self._forwarded = forwarded
         self._timeout_us = timeout_us
         self._source = source
@@ -71,9 +73,14 @@
         """Whether the rest of the body is awaited."""
         return self._state is UploadState.RECEIVING and not self._complete
 
-    def stalled_since_us(self) -> int:
-        """When its client has last sent any of the body."""
-        return self._clock.now_us() if self._paused else self._received_us
+    def stalled_at_us(self) -> int:
+        """When its client counts as stalled if it sends nothing until then."""
+        return self._clock.now_us() if self._paused else self._steps.stalled_at_us
+
+    @property
+    def is_new_work(self) -> bool:
+        """Whether its node cannot work on it yet."""
+        return self.receiving
 
     def evict(self) -> None:
         """Reject the request, as others need its connection."""
@@ -90,6 +97,7 @@
     def resumeProducing(self) -> None:
         """The node reads again: resume the client."""
         self._paused = False
+        self._steps.begin(self._clock.now_us())
         if self._state is UploadState.RECEIVING and not self._complete:
             self._source.resume()
 
@@ -102,7 +110,7 @@
         """Write the next bytes of the body; without chunks the last byte received is held back."""
         if self._state is not UploadState.RECEIVING or not data:
             return
-        self._received_us = self._clock.now_us()
+        self._steps.advance(self._clock.now_us())
         if self._connection is None:
             self._forwarded.body.append(data)
         elif self._source.length is None:
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -230,7 +230,7 @@
                 data = command.data[: min(self._limits.first_burst, self._limits.send_data)]
                 command.sent = len(data)
         else:
-            command.body = Body(self._pool.buffers)
+            command.body = Body(self._pool.buffers, is_answer=True)
         flags = FINAL | (0x20 if transfer.write else 0x40) | 0x01  # simple task attribute
         self._write(Op.COMMAND, flags, command.itt, words, lun=lun_bytes(transfer.lun), cdb=cdb, data=data)
         self._cmd_sn = (self._cmd_sn + 1) % SERIAL_MODULUS
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -15,6 +15,7 @@
 from ..memory_budget import REQUEST_RECORD_BYTES
 from ..net import Connection, unread
 from ..output_progress import UNREAD_US
+from ..peer_progress import PeerProgress
 from ..read_turns import BYTES_PER_WORK, REQUEST_WORK, Credit
 from ..unread_output import UnreadOutput
 from .operator import Extent, LogicalUnit
@@ -141,6 +142,7 @@
         self._partial_since_us = 0  # when the first bytes of an incomplete PDU came; 0 if there is none
         self._closing = self._waits_for_turn = False
         self._output = UnreadOutput(front.clock, front.pool, front.holders)
+        self._input_steps = PeerProgress()
         self.credit = Credit()
         self.lost = self.reject_login = False
         self._handlers: dict[int, Callable[[Pdu], None]] = {
@@ -193,7 +195,7 @@
 
     def pauseProducing(self) -> None:
         """Twisted: the client does not read; stop reading from it."""
-        self._output.filled(self.link, self)
+        self._output.filled(self.link)
         self.link.pauseProducing()
 
     def resumeProducing(self) -> None:
@@ -220,9 +222,19 @@
 
     # -- memory --
 
-    def stalled_since_us(self) -> int:
-        """When the client has last sent or read anything."""
-        return self._output.since_us if self._output.full else self.last_received_us
+    def stalled_at_us(self) -> int:
+        """When the client counts as stalled if it neither sends nor reads anything until then."""
+        if self._output.full:
+            self._output.sample(self.link)
+            return self._output.stalled_at_us
+        if self._waits_for_turn:
+            return self._front.clock.now_us()
+        return self._input_steps.stalled_at_us
+
+    @property
+    def is_new_work(self) -> bool:
+        """Whether only writes hold memory whose data is still coming."""
+        return not self._output.full and any(task.r2t_end for task in self._tasks.values())
 
     def evict(self) -> None:
         """Give up what the client holds: answers that it does not read, or writes whose data is coming."""
@@ -239,6 +251,10 @@
         if self._closing or self.lost:
             return
         self.last_received_us = self._front.clock.now_us()
+        if any(task.r2t_end for task in self._tasks.values()):
+            self._input_steps.advance(self.last_received_us)
+        else:
+            self._input_steps.begin(self.last_received_us)
         self._reader.feed(data)
         work = len(data) // BYTES_PER_WORK
         try:
@@ -571,12 +587,12 @@
             return
         task.done = True
         del self._tasks[task.itt]
+        if task.body is not None:
+            task.body.release()  # before the answer is charged in its place
         if not self.lost:
             self._answer(task, status, data)
             if self._output.full:
-                self._output.charge(len(data))
-        if task.body is not None:
-            task.body.release()
+                self._output.charge(len(data), self)
 
     def _answer(self, task: Task, status: Status, data: bytes) -> None:
         moved = task.length if task.write and status is Status.GOOD else 0
@@ -653,10 +669,11 @@
 
     def sweep(self, now: int) -> None:
         """Enforce the time limits of logins, of clients that do not read, of PDUs and of write data."""
-        if self._output.full and now - self._output.sample(self.link) > UNREAD_US:
+        read_us = self._output.sample(self.link) if self._output.full or self._closing else 0
+        if self._output.full and now - read_us > UNREAD_US:
             self._front.engine.counts["unread"] += 1
             self.link.abortConnection()
-        elif self._closing and now - self._phase_since_us > CLOSING_US:
+        elif self._closing and now - max(read_us, self._phase_since_us) > CLOSING_US:
             self.link.abortConnection()
         elif self._state == "login" and now - self._phase_since_us > LOGIN_TIMEOUT_US:
             self.close()
--- a/gaugesail/iscsi/target_server.py
+++ b/gaugesail/iscsi/target_server.py
@@ -46,7 +46,7 @@
         self._max_connections = max_connections
         self._open: dict[TargetConnection, None] = {}
         self.turns = ReadTurns(clock)
-        self.holders = MemoryHolders(pool, clock, self._count_eviction)
+        self.holders = MemoryHolders(pool, clock, self._count_eviction, engine.refuse_latest_waiting)
         self._last_request_id = 0
         self._id_prefix = os.urandom(6).hex()  # not that of another process of this gateway
 
--- a/gaugesail/memory_holders.py
+++ b/gaugesail/memory_holders.py
@@ -1,4 +1,9 @@
-"""Frees memory for other clients: the clients that hold it and have made no progress for longest go first."""
+"""Frees memory for other clients, and decides who goes without.
+
+First those go that hold memory and have stalled, the ones that did so first before the others.  A peer that
+makes progress, in steps of any size, keeps what it holds: then new work is refused, which is the request that
+asks for memory or, if that is an answer, the latest requests that wait for a node or are arriving.
+"""
 
 from __future__ import annotations
 
@@ -8,15 +13,19 @@
 from .buffers import BufferPool
 from .core.ports import Clock
 
-SHORTEST_STALL_US = 250_000  # a client that made progress later than this ago keeps what it holds
 FREED_SHARE = 1 / 16  # of what may be lent, at once
 
 
 class Holder(Protocol):
     """A client that holds buffers, a place or a connection to a node while it sends or reads."""
 
-    def stalled_since_us(self) -> int:
-        """When it last made progress: it sent, or read, at least one byte."""
+    def stalled_at_us(self) -> int:
+        """When it counts as stalled if it neither sends nor reads a byte until then; see ``PeerProgress``."""
+        ...
+
+    @property
+    def is_new_work(self) -> bool:
+        """Whether it holds what no node works on yet, and no answer."""
         ...
 
     def evict(self) -> None:
@@ -28,22 +37,33 @@
 
 
 def stalled_longest_first(holders: Iterable[_Holder], now_us: int) -> list[_Holder]:
-    """Return those that have made no progress for SHORTEST_STALL_US, the ones stalled for longest first."""
-    latest_us = now_us - SHORTEST_STALL_US
-    since_us = {holder: holder.stalled_since_us() for holder in holders}
-    return sorted((holder for holder in since_us if since_us[holder] < latest_us), key=since_us.__getitem__)
+    """Return those that have stalled, the ones stalled for longest first."""
+    at_us = {holder: holder.stalled_at_us() for holder in holders}
+    return sorted((holder for holder in at_us if at_us[holder] < now_us), key=at_us.__getitem__)
 
 
 class MemoryHolders:
-    """The clients that hold buffers of one pool; makes room when the pool is empty."""
-
-    def __init__(self, pool: BufferPool, clock: Clock, evicted: Callable[[], None]) -> None:
+    """The clients that hold buffers of one pool; makes room when the pool is empty.
+
+    :param evicted: called for each client that gives up what it holds.
+    :param refuse_waiting: refuses the latest request that waits for a node; returns whether there was one.
+    """
+
+    def __init__(
+        self,
+        pool: BufferPool,
+        clock: Clock,
+        evicted: Callable[[], None],
+        refuse_waiting: Callable[[], bool],
+    ) -> None:
         self._pool = pool
         self._clock = clock
         self._evicted = evicted
+        self._refuse_waiting = refuse_waiting
         self._holders: dict[Holder, None] = {}
         self._making_room = False
         pool.make_room = self.make_room
+        pool.refuse_new_work = self.refuse_new_work
 
     def add(self, holder: Holder) -> None:
         """Register a client that begins to hold buffers."""
@@ -63,6 +83,31 @@
         finally:
             self._making_room = False
 
+    def refuse_new_work(self) -> bool:
+        """Refuse requests that wait or arrive, latest first, until memory is free; returns whether any is."""
+        if self._making_room:
+            return False
+        self._making_room = True
+        out_before = self._pool.out
+        try:
+            while self._pool.out >= out_before and (self._refuse_waiting() or self._evict_latest_arriving()):
+                pass
+        finally:
+            self._making_room = False
+        return self._pool.out < out_before
+
+    def _evict_latest_arriving(self) -> bool:
+        arriving = (holder for holder in reversed(self._holders) if holder.is_new_work)
+        latest = next(arriving, None)
+        if latest is not None:
+            self._evict(latest)
+        return latest is not None
+
+    def _evict(self, holder: Holder) -> None:
+        self._holders.pop(holder, None)
+        self._evicted()
+        holder.evict()
+
     def _evict_stalled(self) -> bool:
         stalled = stalled_longest_first(self._holders, self._clock.now_us())
         enough = int(self._pool.large_body_limit * (1 - FREED_SHARE))
@@ -70,7 +115,5 @@
         for holder in stalled:
             if self._pool.out <= enough:
                 break
-            self._holders.pop(holder, None)
-            self._evicted()
-            holder.evict()
+            self._evict(holder)
         return self._pool.out < out_before
--- a/gaugesail/output_progress.py
+++ b/gaugesail/output_progress.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from .core.ports import Clock
+from .peer_progress import PeerProgress
 
 UNREAD_US = 60_000_000  # a client that reads nothing for longer is treated as lost
 _INTEGER = struct.Struct("i")
@@ -38,11 +39,21 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._unacknowledged: int | None = None
-        self.since_us = 0  # when the peer has last read anything
+        self._steps = PeerProgress()
+
+    @property
+    def since_us(self) -> int:
+        """When the peer has last read anything."""
+        return self._steps.since_us
+
+    @property
+    def stalled_at_us(self) -> int:
+        """When the peer counts as stalled if it reads nothing until then."""
+        return self._steps.stalled_at_us
 
     def blocked(self, link: Any) -> None:
         """Note that the transport's buffer is full."""
-        self.since_us = self._clock.now_us()
+        self._steps.begin(self._clock.now_us())
         self._unacknowledged = unacknowledged_bytes(link)
 
     def sample(self, link: Any) -> int:
@@ -50,5 +61,5 @@
         before, now = self._unacknowledged, unacknowledged_bytes(link)
         self._unacknowledged = now
         if before is not None and now is not None and now < before:
-            self.since_us = self._clock.now_us()
+            self._steps.advance(self._clock.now_us())
         return self.since_us
--- a/gaugesail/unread_output.py
+++ b/gaugesail/unread_output.py
@@ -1,4 +1,8 @@
-"""What a client has not read of its answers: charged to the buffers of the gateway until it has."""
+"""What a client has not read of its answers: charged to the buffers of the gateway until it has.
+
+Each connection may hold a part uncharged, for which ``memory_budget`` sets memory aside.  A streamed answer
+never holds more, as its node is paused, so its client is no holder of buffers however slowly it reads.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +13,10 @@
 from .memory_holders import Holder, MemoryHolders
 from .output_progress import OutputProgress
 
+UNCHARGED_READS = (
+    2  # of what is read at once: one fills the transport's buffer, one was read before the pause
+)
+
 
 class UnreadOutput:
     """The output of one client connection, whose transport reports when its write buffer is full.
@@ -21,6 +29,7 @@
         self._pool = pool
         self._holders = holders
         self.full = False  # the client reads more slowly than it is written to
+        self._unread_bytes = 0  # written while the output is full, or that filled it
         self.charged = 0  # buffers
 
     @property
@@ -32,19 +41,33 @@
         """Look whether the client has read since the last call; returns ``since_us``."""
         return self._progress.sample(link)
 
-    def filled(self, link: Any, holder: Holder) -> None:
+    @property
+    def stalled_at_us(self) -> int:
+        """When the client counts as stalled if it reads nothing until then, while the output is full."""
+        return self._progress.stalled_at_us
+
+    def filled(self, link: Any) -> None:
         """The transport's write buffer is full."""
         self.full = True
         self._progress.blocked(link)
-        self._holders.add(holder)
 
-    def charge(self, byte_count: int) -> None:
+    def charge(self, byte_count: int, holder: Holder) -> None:
         """Count bytes that were written while the output is full, or that filled it."""
-        self.charged += self._pool.charge(byte_count)
+        self._unread_bytes += byte_count
+        excess_bytes = self._unread_bytes - UNCHARGED_READS * self._pool.io_bytes
+        new_bytes = excess_bytes - self.charged * self._pool.size
+        if new_bytes > 0:
+            self._holders.add(holder)
+            # Before anything is freed for it: that may end this very client.
+            self.charged += self._pool.buffers_for(new_bytes)
+            self._pool.charge(new_bytes)
 
     def emptied(self, holder: Holder) -> None:
         """The client has read all, or has left."""
         self.full = False
+        self._unread_bytes = 0
+        if not self.charged:
+            return
         self._holders.remove(holder)
         charged, self.charged = self.charged, 0
         self._pool.refund(charged)
