Tell the next process of a gap in a client's input, and when the input arrived

Cause: the record that moves with a streamed answer had the input of the connection, but not that input was thrown away behind it, so the next process took later bytes for the rest of the request at the cut.

Change: the record tells of the gap (429 at its place, then the end) and of the arrival times; the next process counts the input against its bound at once and remembers the id; the old one stops counting it. A version that does not know the gap is told to close after the answer. Found beside it: a connection whose streamed answer ended during a shutdown was closed with requests that were read behind it; a session with half a command counted as idle.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -142,11 +142,15 @@
             reset(client_descriptor)  # a regular close could pass for the end of the answer
             return
         client = self.front.buildProtocol(None)
-        stream = client.take_over_stream(ClientStreamState.from_json(state["client"]), node)
-        self.engine.attempts.adopt_stream(node.attempt)
+        attempt = node.attempt
+        assert attempt is not None
+        client_state = ClientStreamState.from_json(state["client"])
+        stream = client.take_over_stream(client_state, attempt.client_request_id, node)
+        self.engine.attempts.adopt_stream(attempt)
         try:
             attach(self._reactor, client_descriptor, client)
         except OSError:
+            client.input.release()
             node.stop()
             return
         node.stream_to(stream)
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -80,7 +80,7 @@
         """Whether a request, or a part of one, was read and has no answer yet."""
         if self.closing or self.lost or self.stream is not None:
             return False
-        return self._request_id is not None or self.input.parser.buffered > 0
+        return self._request_id is not None or self.input.is_pending
 
     @property
     def disconnected(self) -> bool:
@@ -355,7 +355,7 @@
         # While clients are to leave, an answer ends its connection.  Requests that are buffered behind it are
         # answered first, as closing would lose them.
         sent_away = self.owner.leaving or (self.surplus and self.owner.over_limit)
-        return self._keep_alive and not (sent_away and not self.input.parser.buffered)
+        return self._keep_alive and not (sent_away and not self.input.is_pending)
 
     def _answer_written(self, keep_alive: bool, linger: bool) -> None:
         """The pending answer is complete: close, or read the next request."""
@@ -364,7 +364,7 @@
             self.close(CloseReason.BAD_REQUEST if linger else CloseReason.LAST_ANSWER, linger=linger)
             return
         self.resume_reading()
-        if self.input.parser.buffered or self.input.truncated:
+        if self.input.is_pending:
             self.input.since_us = self.owner.clock.now_us()
             if not self._reading:
                 self.owner.clock.call_later(0, self._read_next)
@@ -426,7 +426,9 @@
         self.stream = None
         if not self.lost:
             self.owner.used(self)
-            self._answer_written(self._keep_alive and not self.owner.closing, False)
+            # Its head has told the client to go on: what it has sent behind the request is answered too.
+            leaves = self.owner.closing and not self.input.is_pending
+            self._answer_written(self._keep_alive and not leaves, False)
 
     def stream_failed(self) -> None:
         """Reset the connection: only that shows the client that its answer is incomplete."""
@@ -443,18 +445,24 @@
             self.requests_received,
             self._http_1_0,
             self.input.parser.export_state(),
+            self.input.truncated,
+            self.input.export_arrivals(),
         )
         self.stream = None
         self.lost = True
         self.output.emptied(self)
+        self.input.release()
         return state
 
-    def take_over_stream(self, state: ClientStreamState, source: BodySource) -> BodySink:
-        """Continue a streamed answer of another process."""
+    def take_over_stream(
+        self, state: ClientStreamState, client_request_id: str, source: BodySource
+    ) -> BodySink:
+        """Continue a streamed answer of another process, to the request with this id."""
         self._keep_alive = state.keep_alive
         self._http_1_0 = state.http_1_0
+        self._answered_id = client_request_id
         self.requests_received = state.requests_received
-        self.input.parser.restore_state(state.parser)
+        self.input.restore(state.parser, state.input_truncated, state.arrivals)
         return self._add_stream(source, state.chunked)
 
     # ---- closing ----
--- a/gaugesail/http/client_input.py
+++ b/gaugesail/http/client_input.py
@@ -6,7 +6,7 @@
 
 from ..net import kernel_wait_us
 from ..peer_progress import PeerProgress
-from .arrival_times import ArrivalTimes
+from .arrival_times import ArrivalMark, ArrivalTimes
 from .client_limits import MAX_PIPELINED_EXCESS_BYTES
 from .client_owner import ClientOwner
 from .parser import Parser
@@ -93,6 +93,27 @@
         if excess and (excess > MAX_PIPELINED_EXCESS_BYTES or owner.excess_input > owner.max_excess_input):
             self.truncated = True
 
+    @property
+    def is_pending(self) -> bool:
+        """Whether anything that was received has no answer yet: buffered input, or the end at a gap."""
+        return self.parser.buffered > 0 or self.truncated
+
+    def export_arrivals(self) -> tuple[ArrivalMark, ...]:
+        """Return when the buffered input arrived, by the clock that all processes of the machine share."""
+        clock = self._owner.clock
+        marks = self._arrivals.unread(self.parser.bytes_read)
+        return tuple(ArrivalMark(mark.end, clock.to_machine_us(mark.arrived_us)) for mark in marks)
+
+    def restore(self, parser: dict[str, Any], truncated: bool, arrivals: tuple[ArrivalMark, ...]) -> None:
+        """Continue with the input of another process, which counts against this one's bounds from now on."""
+        clock = self._owner.clock
+        self.parser.restore_state(parser)
+        self.truncated = truncated
+        self._arrivals.restore(
+            ArrivalMark(mark.end, clock.from_machine_us(mark.arrived_us)) for mark in arrivals
+        )
+        self.bound(True)
+
     def release(self) -> None:
         """Drop the input of a lost connection, and stop counting it."""
         self.parser.discard_input()
--- a/gaugesail/http/stream_handover.py
+++ b/gaugesail/http/stream_handover.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from .arrival_times import ArrivalMark
+
 
 @dataclass(slots=True, frozen=True)
 class NodeStreamState:
@@ -53,24 +55,39 @@
     requests_received: int  # on the connection
     http_1_0: bool
     parser: dict[str, Any]
+    input_truncated: bool = False  # input behind the parser's was discarded: the connection ends there
+    arrivals: tuple[ArrivalMark, ...] = ()  # of the parser's input
 
     def to_json(self) -> dict[str, Any]:
-        """Return the state under the keys that every version reads."""
-        return {
+        """Return the state under the keys that every version reads, and newer ones where they are needed.
+
+        A version that does not know ``truncated`` would take input behind the gap for the rest of the request
+        before it.  So it is told to close the connection after the streamed answer.
+        """
+        fields = {
             "chunked": self.chunked,
-            "keep": self.keep_alive,
+            "keep": self.keep_alive and not self.input_truncated,
             "asked": self.requests_received,
             "old": self.http_1_0,
             "parser": self.parser,
         }
+        if self.input_truncated:
+            fields["truncated"] = {"keep": self.keep_alive}
+        if self.arrivals:
+            fields["arrivals"] = [[mark.end, mark.arrived_us] for mark in self.arrivals]
+        return fields
 
     @classmethod
     def from_json(cls, fields: dict[str, Any]) -> ClientStreamState:
-        """Read the state that another process of this gateway handed over."""
+        """Read the state that another process of this gateway handed over, of any version."""
+        truncated = fields.get("truncated")
+        keep_alive = fields["keep"] if truncated is None else truncated["keep"]
         return cls(
             fields["chunked"] is True,
-            fields["keep"] is True,
+            keep_alive is True,
             int(fields["asked"]),
             fields["old"] is True,
             fields["parser"],
+            truncated is not None,
+            tuple(ArrivalMark(int(end), int(arrived_us)) for end, arrived_us in fields.get("arrivals", ())),
         )
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -153,8 +153,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no command is in flight."""
-        return not self._tasks
+        """Whether no command is in flight, or has been received in part."""
+        return not (self._tasks or self._reader.buffered)
 
     @property
     def client_disconnected(self) -> bool:
--- a/tests/compatibility/test_handover.py
+++ b/tests/compatibility/test_handover.py
@@ -15,6 +15,8 @@
 
 from gaugesail.handover_connection import HandoverConnection
 from gaugesail.handover_messages import HandoverMessage, encode
+from gaugesail.http.arrival_times import ArrivalMark
+from gaugesail.http.stream_handover import ClientStreamState
 
 from ..support.faulty_process import HOST, READY_S, ServingNode, faulty, wait_until
 from ..support.scenario_runner import play, scenarios
@@ -196,3 +198,23 @@
         for descriptor in lines.descriptors:
             socket.socket(fileno=descriptor).close()
         stream.close()
+
+
+def test_a_streamed_answer_of_dbd4a08_is_read() -> None:
+    fields = json.loads(recorded_line(RUNNING, "stream"))["stream"]["client"]
+    state = ClientStreamState.from_json(fields)
+    assert (state.input_truncated, state.arrivals) == (False, ())
+    assert state.to_json() == fields
+
+
+def test_a_streamed_answer_behind_which_input_is_missing() -> None:
+    """Guards against a version that does not know the gap and reads on behind it: it has to close there."""
+    fields = json.loads(recorded_line(RUNNING, "stream"))["stream"]["client"]
+    state = replace(
+        ClientStreamState.from_json(fields | {"keep": True}),
+        input_truncated=True,
+        arrivals=(ArrivalMark(5, 7_000_000),),
+    )
+    sent = json.loads(json.dumps(state.to_json()))
+    assert sent["keep"] is False
+    assert ClientStreamState.from_json(sent) == state
