Hold an ordered key up to the last byte of a large answer, in every process

Cause: an answer over 64 KiB is reported as SERVED with its first bytes, and that released its key; the policy never heard of the end.

The key goes with a streamed answer to the next process: held here until that claims it. Both only for ordered keys.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from gaugesail.policy.events import EndpointList
+from gaugesail.policy.events import AttemptResult, EndpointList
 
 from . import config as configuration
 from .core.clock import ReactorClock
@@ -17,7 +17,7 @@
 from .http.discovery import DiscoveryClient, DiscoverySettings
 from .http.node_connection import NodeConnection
 from .http.node_pool import NodePool
-from .http.stream_handover import ClientStreamState
+from .http.stream_handover import ClientStreamState, NodeStreamState
 from .memory_budget import MemoryLimit
 from .net import attach, detach, reset
 from .operations import Operations
@@ -136,17 +136,19 @@
     def continue_answer(self, descriptors: list[int], state: dict[str, Any]) -> None:
         """Continue a streamed answer; if one of its connections has ended, the other is closed too."""
         client_descriptor, node_descriptor = descriptors
+        client_state = ClientStreamState.from_json(state["client"])
+        node_state = NodeStreamState.from_json(state["brick"])
+        attempts = self.engine.attempts
+        node_id = node_state.node_id.encode("latin-1")
+        attempt = attempts.adopt_stream(node_id, node_state.client_request_id, node_state.ordered_key)
         try:
-            node = self.transport.take_over(node_descriptor, state["brick"], self.engine.attempts)
+            node = self.transport.take_over(node_descriptor, node_state, attempt, attempts)
         except OSError:
             reset(client_descriptor)  # a regular close could pass for the end of the answer
+            attempts.attempt_ended(attempt, AttemptResult.RESET)
             return
         client = self.front.buildProtocol(None)
-        attempt = node.attempt
-        assert attempt is not None
-        client_state = ClientStreamState.from_json(state["client"])
         stream = client.take_over_stream(client_state, attempt.client_request_id, node)
-        self.engine.attempts.adopt_stream(attempt)
         try:
             attach(self._reactor, client_descriptor, client)
         except OSError:
--- a/gaugesail/core/attempts.py
+++ b/gaugesail/core/attempts.py
@@ -9,7 +9,14 @@
 from dataclasses import dataclass
 
 from gaugesail.policy.actions import CancelAttempt, StartAttempt
-from gaugesail.policy.events import AttemptEnded, AttemptResult, HealthCheckEnded
+from gaugesail.policy.events import (
+    AnswerAdopted,
+    AnswerEnded,
+    AnswerEnding,
+    AttemptEnded,
+    AttemptResult,
+    HealthCheckEnded,
+)
 from gaugesail.policy.settings import NodeId
 
 from .activity import Activity
@@ -24,6 +31,8 @@
 
 # Results after which a request has not run.
 NEVER_RUN = (AttemptResult.NOT_STARTED, AttemptResult.REJECTED, AttemptResult.NO_CONNECTION)
+# Of an answer that was passed on as it came, by the result of its attempt; NOT_STARTED: it was handed over.
+ANSWER_ENDINGS = {AttemptResult.SERVED: AnswerEnding.WHOLE, AttemptResult.NOT_STARTED: AnswerEnding.MOVED}
 ANSWER_MARGIN_US = 4_000  # between the latest answer and the client's timeout
 
 
@@ -48,6 +57,7 @@
     activity: Activity
     in_maintenance: set[NodeId]
     on_client_disconnected: Callable[[int], None]  # with the request's id
+    new_request_id: Callable[[], int]
 
     # ---- called by the policy ----
 
@@ -80,6 +90,7 @@
         self, entry: OpenRequest, action: StartAttempt, now_us: int, deadline_us: int
     ) -> Attempt:
         request = entry.request
+        keeps_order = request.settings.classes[request.class_index].ordered
         return Attempt(
             action.request_id,
             entry.attempts,
@@ -89,6 +100,7 @@
             request.payload,
             now_us,
             deadline_us,
+            ordered_key=request.key if keeps_order else 0,
             start_before_us=action.start_before_us,
             client_has_disconnected=lambda: self._end_if_client_has_disconnected(entry),
         )
@@ -200,8 +212,11 @@
     def answer_started(self, attempt: Attempt, source: BodySource) -> BodySink | None:
         """Start streaming an answer; it is the request's final answer even if it breaks off later.
 
-        From now on neither the deadline nor the policy ends the attempt, and its id stays in use until its
-        end.  Returns None if no client receives the answer.
+        From now on neither the deadline nor the policy ends the attempt, and its id and its ordered key stay
+        in use until its end.  Returns None if no client receives the answer.
+
+        For the node's window, latency and slow start the attempt ends here: the node has taken the request,
+        and the pace of the rest is that of the client.
         """
         if attempt.ended or attempt.answer_started:
             return None
@@ -212,14 +227,28 @@
         if entry is not None:
             attempt.deadline_us = entry.deadline_us
             sink = self.answers.start_stream(entry, source)
-        self._report(attempt, AttemptResult.SERVED, True)
+        self._report(attempt, AttemptResult.SERVED, True, answer_continues=attempt.ordered_key != 0)
         return sink
 
-    def adopt_stream(self, attempt: Attempt) -> None:
-        """Continue an answer that another process began to stream; its id is in use until its end."""
-        attempt.answer_started = True
-        self.ids.use(attempt.client_request_id)
-        self.ids.send(attempt.client_request_id)
+    def adopt_stream(self, node_id: NodeId, client_request_id: str, ordered_key: int) -> Attempt:
+        """Continue an answer that another process began; its id and key are in use until its end."""
+        attempt = Attempt(
+            self.new_request_id(),
+            0,
+            node_id,
+            -1,
+            client_request_id,
+            None,
+            self.clock.now_us(),
+            0,
+            answer_started=True,
+            ordered_key=ordered_key,
+        )
+        self.ids.use(client_request_id)
+        self.ids.send(client_request_id)
+        if ordered_key:
+            self.policy.add(AnswerAdopted(attempt.request_id, ordered_key))
+        return attempt
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult, answer: bytes = b"") -> None:
         """End an attempt with its result and, for SERVED, its answer; later reports of it are ignored."""
@@ -257,13 +286,24 @@
         # NOT_STARTED: another process of this gateway continues the stream.
         counters = {AttemptResult.SERVED: "streamed", AttemptResult.NOT_STARTED: "stream_moved"}
         self.activity.counts[counters.get(result, "stream_broken")] += 1
+        if attempt.ordered_key:
+            ending = ANSWER_ENDINGS.get(result, AnswerEnding.BROKEN)
+            self.policy.add(AnswerEnded(attempt.request_id, attempt.number, ending))
 
-    def _report(self, attempt: Attempt, result: AttemptResult, request_finished: bool) -> None:
+    def _report(
+        self, attempt: Attempt, result: AttemptResult, request_finished: bool, answer_continues: bool = False
+    ) -> None:
         self.activity.counts[f"attempt_{result.name.lower()}"] += 1
         elapsed_us = max(0, self.clock.now_us() - attempt.sent_us)
         self.policy.add(
             AttemptEnded(
-                attempt.request_id, attempt.number, attempt.node_id, result, elapsed_us, request_finished
+                attempt.request_id,
+                attempt.number,
+                attempt.node_id,
+                result,
+                elapsed_us,
+                request_finished,
+                answer_continues=answer_continues,
             )
         )
 
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -116,6 +116,7 @@
             self._activity,
             self.in_maintenance,
             self.client_disconnected,
+            self._new_request_id,
         )
         self._next_request_id = 1
         self._answers_due_us: int | None = None  # when the process is to end
@@ -173,8 +174,7 @@
         0 if the request is not admitted.
         """
         received_at_us = self._clock.now_us() if received_us is None else received_us
-        request_id = self._next_request_id
-        self._next_request_id += 1
+        request_id = self._new_request_id()
         if not self._admit(request, reply):
             return 0
         deadline_us = received_at_us + request.timeout_us
@@ -201,6 +201,11 @@
         )
         return request_id
 
+    def _new_request_id(self) -> int:
+        request_id = self._next_request_id
+        self._next_request_id += 1
+        return request_id
+
     def _admit(self, request: ClientRequest, reply: Reply) -> bool:
         """Whether a request is admitted; if it is not, its answer is scheduled."""
         # Sending the id again would make a second copy.  Only the new request fails; the request that uses
--- a/gaugesail/core/policy_runner.py
+++ b/gaugesail/core/policy_runner.py
@@ -38,6 +38,11 @@
         self._read: DelayedCall | None = None
         self._running = False
 
+    @property
+    def now_us(self) -> int:
+        """The present time, in microseconds of the clock that the policy is run by."""
+        return self._clock.now_us()
+
     def add(self, event: Event) -> None:
         """Pass an event to the policy at the end of this tick."""
         self._events.append(event)
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -176,6 +176,7 @@
     ended: bool = False
     answer_begun: bool = False  # a byte of its answer has arrived: it has the rest of its request's time
     answer_started: bool = False  # its answer is being streamed, and is final even if it breaks off
+    ordered_key: int = 0  # held up to the last byte of its answer; 0: its class keeps no order, or no key
     start_before_us: int = 0  # its quota or the nodes' deduplication ends then; 0: no limit
     request_closed: bool = False  # it must not start any more (rules.deny_first_byte)
     connection: object | None = None  # owned by the node transport
--- a/gaugesail/core/shared_keys.py
+++ b/gaugesail/core/shared_keys.py
@@ -19,7 +19,7 @@
     @property
     def possibly_running(self) -> tuple[tuple[int, int], ...]:
         """The ordered keys that attempts may be running on, each with the end of its pause."""
-        return self._policy.gateway.ordered_keys.possibly_running()
+        return self._policy.gateway.ordered_keys.possibly_running(self._policy.now_us)
 
     def receive_claim(self, event: KeyClaimed | KeyReleased) -> None:
         """Pass on a claim, or the end of one, of the sibling process."""
--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -325,6 +325,7 @@
             head.keep_alive,
             head.until_close,
             self._parser.export_state(),
+            request.attempt.ordered_key,
         )
         self._request = self._sink = None
         self.lost = True
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -203,17 +203,15 @@
         connection = attempt.connection
         return isinstance(connection, NodeConnection) and not connection.written and not self.abort(attempt)
 
-    def take_over(self, descriptor: int, fields: dict[str, Any], listener: AttemptListener) -> NodeConnection:
+    def take_over(
+        self, descriptor: int, state: NodeStreamState, attempt: Attempt, listener: AttemptListener
+    ) -> NodeConnection:
         """Adopt a connection on which another process of this gateway was streaming an answer.
 
         Raises OSError if the node has closed the connection.
         """
-        state = NodeStreamState.from_json(fields)
-        node_id = state.node_id.encode("latin-1")
-        now_us = self.clock.now_us()
-        node = self._nodes.setdefault(node_id, NodeState(node_id))
+        node = self._nodes.setdefault(attempt.node_id, NodeState(attempt.node_id))
         connection = NodeConnection(self, node, node.generation)
-        attempt = Attempt(0, 0, node_id, -1, state.client_request_id, None, now_us, 0, answer_started=True)
         connection.take_over_stream(state, attempt, listener)
         node.busy.add(connection)
         try:
--- a/gaugesail/http/stream_handover.py
+++ b/gaugesail/http/stream_handover.py
@@ -21,10 +21,11 @@
     keep_alive: bool
     until_close: bool
     parser: dict[str, Any]
+    ordered_key: int = 0  # that the answer holds up to its last byte; 0: none
 
     def to_json(self) -> dict[str, Any]:
-        """Return the state under the keys that every version reads."""
-        return {
+        """Return the state under the keys that every version reads, and newer ones where they are needed."""
+        fields = {
             "node": self.node_id,
             "name": self.client_request_id,
             "length": self.length,
@@ -32,10 +33,11 @@
             "ends": self.until_close,
             "parser": self.parser,
         }
+        return fields | {"ordered_key": self.ordered_key} if self.ordered_key else fields
 
     @classmethod
     def from_json(cls, fields: dict[str, Any]) -> NodeStreamState:
-        """Read the state that another process of this gateway handed over."""
+        """Read the state that another process of this gateway handed over, of any version."""
         return cls(
             str(fields["node"]),
             str(fields["name"]),
@@ -43,6 +45,7 @@
             fields["keep"] is True,
             fields["ends"] is True,
             fields["parser"],
+            int(fields.get("ordered_key", 0)),
         )
 
 
--- a/gaugesail/key_coordination.py
+++ b/gaugesail/key_coordination.py
@@ -13,6 +13,7 @@
 from .core.shared_keys import SharedKeys
 from .handover_connection import HandoverConnection
 from .handover_messages import KeyClaim, KeyGrant, KeyMessage, KeyRelease, KeysPaused, MalformedMessage
+from .shutdown_schedule import END_MARGIN_US
 
 
 class KeyCoordination:
@@ -71,7 +72,10 @@
         """Stop sending ordered requests, and return where the last attempts may be running."""
         running = self.decisions.possibly_running
         self.wait()
-        return KeysPaused(tuple((key, self._clock.to_machine_us(until)) for key, until in running))
+        # Answers may still come, or be handed over, until the process has ended.
+        return KeysPaused(
+            tuple((key, self._clock.to_machine_us(until) + END_MARGIN_US) for key, until in running)
+        )
 
     # ---- called by the engine ----
 
--- a/gaugesail/policy/attempt_results.py
+++ b/gaugesail/policy/attempt_results.py
@@ -51,7 +51,10 @@
             request.possibly_executed_at = request.sent_at
             request.possibly_executed_zone = node.zone
         if request.ordered_key is not None:
-            self._ordered_keys.attempt_ended(request.ordered_key, request, event.result)
+            if event.answer_continues:
+                self._ordered_keys.answer_continues(request.ordered_key, request, event.attempt)
+            else:
+                self._ordered_keys.attempt_ended(request.ordered_key, request, event.result)
         if not request.finished:
             self._continue(request, event)
 
--- a/gaugesail/policy/events.py
+++ b/gaugesail/policy/events.py
@@ -106,6 +106,32 @@
     quota_used: int = 0  # 1 + percent of the plan's rate; 0: unknown
     served_elsewhere_units: int = 0  # units this shard served for the volume through other gateways
     load_report: tuple[float, ...] = ()  # from the node; the present policy ignores it
+    answer_continues: bool = False  # SERVED by the first part of an answer that is passed on as it comes
+
+
+class AnswerEnding(Enum):
+    """How an answer ended that was passed on as it came."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"  # by its node, by the gateway, or as its client has left: the node may work on it
+    MOVED = "moved"  # the successor process passes it on
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerEnded:
+    """The end of an answer that continued after ``AttemptEnded``, or after ``AnswerAdopted``."""
+
+    request_id: int
+    attempt: int
+    ending: AnswerEnding
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerAdopted:
+    """This process passes on the answer to a request of an ordered key that its predecessor has served."""
+
+    request_id: int  # of this process; its attempt has the number 0
+    key: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -247,6 +273,8 @@
     | EndpointList
     | RequestReceived
     | AnswerStarted
+    | AnswerEnded
+    | AnswerAdopted
     | AttemptEnded
     | ClientDisconnected
     | TimerFired
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -15,6 +15,8 @@
 from .dispatch import Dispatcher
 from .endpoint_watch import EndpointWatch
 from .events import (
+    AnswerAdopted,
+    AnswerEnded,
     AttemptEnded,
     ClientDisconnected,
     EndpointList,
@@ -198,6 +200,10 @@
                 self.ordered_keys.granted(event)
             case KeyAuthorityChanged():
                 self.ordered_keys.change_authority(event)
+            case AnswerEnded():
+                self.ordered_keys.answer_ended(event)
+            case AnswerAdopted():
+                self.ordered_keys.adopt_answer(event)
 
     def _change_sibling(self, event: SiblingProcessChanged) -> None:
         """Divide this gateway's limits and budgets between two processes, or use them alone."""
--- a/gaugesail/policy/ordered_keys.py
+++ b/gaugesail/policy/ordered_keys.py
@@ -4,15 +4,29 @@
 The other one claims the key for each of its ordered requests, sends the request only once the claim is
 granted, and releases the key when the request is finished and none of its attempts is in flight.  A claim
 takes its place among the requests of the key by its time of receipt.
+
+An attempt holds its key up to the last byte of its answer, which may come long after the first: the answer
+is passed on meanwhile.  If it is handed to the successor process, the key is held here until the successor
+claims it, and then until it releases the claim.
 """
 
 from __future__ import annotations
 
 from .actions import ClaimKey, GrantKey, ReleaseKey
-from .events import AttemptResult, KeyAuthority, KeyAuthorityChanged, KeyClaimed, KeyGranted, KeyReleased
+from .events import (
+    AnswerAdopted,
+    AnswerEnded,
+    AnswerEnding,
+    AttemptResult,
+    KeyAuthority,
+    KeyAuthorityChanged,
+    KeyClaimed,
+    KeyGranted,
+    KeyReleased,
+)
 from .gateway_state import GatewayState
 from .node_table import NodeTable
-from .records import OrderedKey, PendingRequest, SiblingClaim
+from .records import AdoptedAnswer, OrderedKey, PendingRequest, SiblingClaim
 
 # Results after which the attempt may still be running at its node.
 POSSIBLY_RUNNING = (AttemptResult.TIMEOUT, AttemptResult.RESET, AttemptResult.CANCELLED)
@@ -32,7 +46,9 @@
         self._waiting_claims = 0  # not yet granted
         self._changed: dict[int, OrderedKey] = {}  # whose first claim may be granted at the end of the batch
         # Beside the authority:
-        self._claimed: dict[int, PendingRequest] = {}  # own requests, by request id
+        self._claimed: dict[int, PendingRequest | AdoptedAnswer] = {}  # own requests, by request id
+        # Answers that are passed on as they come, by request and attempt:
+        self._continued: dict[tuple[int, int], tuple[OrderedKey, PendingRequest | AdoptedAnswer]] = {}
 
     def open(self, key: int) -> OrderedKey:
         """Return the record of a key; it is created if there is none."""
@@ -59,14 +75,16 @@
         if self._authority is KeyAuthority.SIBLING:
             self._claim(request, ordered_key)
 
-    def _claim(self, request: PendingRequest, ordered_key: OrderedKey) -> None:
+    def _claim(self, request: PendingRequest | AdoptedAnswer, ordered_key: OrderedKey) -> None:
         self._claimed[request.request_id] = request
         is_held = ordered_key.granted is request
         self._state.actions.append(
             ClaimKey(request.request_id, ordered_key.key, request.received_at, is_held)
         )
 
-    def attempt_ended(self, ordered_key: OrderedKey, request: PendingRequest, result: AttemptResult) -> None:
+    def attempt_ended(
+        self, ordered_key: OrderedKey, request: PendingRequest | AdoptedAnswer, result: AttemptResult
+    ) -> None:
         """Record the end of an attempt; if it may still be running, pause the key for other requests."""
         ordered_key.in_flight -= 1
         if result in POSSIBLY_RUNNING:
@@ -76,6 +94,33 @@
             self._release(ordered_key, request)
         self._mark_next(ordered_key)
 
+    def answer_continues(self, ordered_key: OrderedKey, request: PendingRequest, attempt: int) -> None:
+        """Record that an attempt was served, but holds its key until the end of its answer."""
+        self._continued[(request.request_id, attempt)] = ordered_key, request
+
+    def answer_ended(self, event: AnswerEnded) -> None:
+        """Record the end of an answer; unless it is whole, its attempt may still be running."""
+        continued = self._continued.pop((event.request_id, event.attempt), None)
+        if continued is None:
+            return
+        ordered_key, request = continued
+        if event.ending is AnswerEnding.MOVED:
+            ordered_key.has_moved_answer = True
+            ordered_key.granted = None
+            return
+        whole = event.ending is AnswerEnding.WHOLE
+        self.attempt_ended(ordered_key, request, AttemptResult.SERVED if whole else AttemptResult.RESET)
+
+    def adopt_answer(self, event: AnswerAdopted) -> None:
+        """Hold the key of an answer that the predecessor process has handed over."""
+        ordered_key = self.open(event.key)
+        answer = AdoptedAnswer(event.request_id, self._state.now)
+        self._continued[(event.request_id, 0)] = ordered_key, answer
+        ordered_key.in_flight += 1
+        ordered_key.granted = answer
+        if self._authority is KeyAuthority.SIBLING:
+            self._claim(answer, ordered_key)
+
     def remove(self, ordered_key: OrderedKey, request: PendingRequest) -> None:
         """Remove a finished request of the key."""
         ordered_key.pending.remove(request)
@@ -83,7 +128,7 @@
             self._release(ordered_key, request)
         self._mark_next(ordered_key)
 
-    def _release(self, ordered_key: OrderedKey, request: PendingRequest) -> None:
+    def _release(self, ordered_key: OrderedKey, request: PendingRequest | AdoptedAnswer) -> None:
         """Release the key for the sibling process, as no attempt of a finished request is in flight."""
         if ordered_key.granted is request:
             ordered_key.granted = None
@@ -109,6 +154,7 @@
         now = self._state.now
         pause_us = self._state.settings.ordered_key_pause_us
         self._end_claims(now + pause_us)
+        self._end_moved_answers(now + pause_us)
         self._authority = event.authority
         if event.attempts_unknown:
             self._unknown_until = now + pause_us
@@ -139,6 +185,14 @@
         self._claimed = {}
         self._waiting_claims = 0
 
+    def _end_moved_answers(self, paused_until: int) -> None:
+        """Pause the keys of answers that were handed to a process that has not claimed them."""
+        for ordered_key in self._keys.values():
+            if ordered_key.has_moved_answer:
+                ordered_key.has_moved_answer = False
+                ordered_key.in_flight -= 1
+                self._pause(ordered_key, paused_until)
+
     def _pause(self, ordered_key: OrderedKey, paused_until: int) -> None:
         """Pause a key, as an attempt of the sibling process may still be running."""
         if paused_until >= ordered_key.paused_until:
@@ -151,6 +205,9 @@
         claim = SiblingClaim(event.claim_id, ordered_key, event.received_us, event.is_held)
         self._claims[event.claim_id] = claim
         if event.is_held:
+            if ordered_key.has_moved_answer:
+                ordered_key.has_moved_answer = False
+                ordered_key.in_flight -= 1
             ordered_key.pending.insert(0, claim)
             return
         self._waiting_claims += 1
@@ -172,7 +229,7 @@
     def granted(self, event: KeyGranted) -> None:
         """Let a request be sent, as the sibling process has granted its claim; else it is finished."""
         request = self._claimed.get(event.request_id)
-        if request is None or request.ordered_key is None:
+        if not isinstance(request, PendingRequest) or request.ordered_key is None:
             return
         request.ordered_key.granted = request
         self._node_table.mark_changed(request.shard)
@@ -207,9 +264,11 @@
 
     # ---- the end of this process, and idle keys ----
 
-    def possibly_running(self) -> tuple[tuple[int, int], ...]:
-        """Return the keys that this process may have attempts on, each with the end of its pause."""
-        now = self._state.now
+    def possibly_running(self, now: int) -> tuple[tuple[int, int], ...]:
+        """Return the keys that this process may have attempts on, each with the end of its pause.
+
+        :param now: the present time, which may be later than that of the latest batch.
+        """
         in_flight_until = now + self._state.settings.ordered_key_pause_us
         return tuple(
             (key, in_flight_until if ordered_key.in_flight else ordered_key.paused_until)
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -59,16 +59,26 @@
     granted: bool = False
 
 
+@dataclass(slots=True, eq=False)
+class AdoptedAnswer:
+    """An answer of an ordered key that the predecessor process has begun and this one passes on."""
+
+    request_id: int
+    received_at: int  # when it was taken over
+    finished: bool = True
+
+
 @dataclass(slots=True, eq=False)
 class OrderedKey:
     """The unfinished requests of one ordered key, in the order of receipt."""
 
     key: int
     pending: list[PendingRequest | SiblingClaim] = field(default_factory=list)
-    in_flight: int = 0
+    in_flight: int = 0  # attempts, up to the last byte of the answer
+    has_moved_answer: bool = False  # one of them goes on at the successor, which has not claimed the key yet
     paused_until: int = 0  # until then an attempt may still be running at its node
-    pause_exempt: PendingRequest | None = None  # the request of that attempt
-    granted: PendingRequest | None = None  # the request that the sibling process has granted the key
+    pause_exempt: PendingRequest | AdoptedAnswer | None = None  # the request of that attempt
+    granted: PendingRequest | AdoptedAnswer | None = None  # to which the sibling process has granted the key
 
     def insert(self, item: PendingRequest | SiblingClaim) -> None:
         """Add a request or claim by its time of receipt, but not before a granted claim."""
--- a/tests/policy/test_sibling_keys.py
+++ b/tests/policy/test_sibling_keys.py
@@ -19,6 +19,9 @@
     StartAttempt,
 )
 from gaugesail.policy.events import (
+    AnswerAdopted,
+    AnswerEnded,
+    AnswerEnding,
     AttemptEnded,
     AttemptResult,
     ClientDisconnected,
@@ -59,6 +62,10 @@
     attempts: int = 0
     finished: bool = False
     left: bool = False  # its client has disconnected
+    continues: bool = False  # its answer has begun, and is passed on
+    answer_id: int = 0  # under which the process that passes it on knows it
+    answer_attempt: int = 0
+    is_moving: bool = False  # its answer is on the way to the successor
 
 
 @dataclass(eq=False)
@@ -147,7 +154,7 @@
         self.feed(process, event)
 
     def end_attempt(self, which: int, result: AttemptResult) -> None:
-        in_flight = [r for r in self.requests.values() if r.in_flight and r.process.alive]
+        in_flight = [r for r in self.requests.values() if r.in_flight and not r.continues and r.process.alive]
         if not in_flight:
             return
         request = in_flight[which % len(in_flight)]
@@ -160,6 +167,50 @@
         ended = AttemptEnded(request.request_id, number, NODE, result, 1000, request.finished, load_report=())
         self.feed(request.process, ended)
 
+    def begin_answer(self, which: int) -> None:
+        """The first part of a large answer arrives: the request is finished, its attempt is not."""
+        begun = [r for r in self.requests.values() if r.in_flight and not r.continues and r.process.alive]
+        if not begun:
+            return
+        request = begun[which % len(begun)]
+        request.continues = request.finished = True
+        request.answer_id, request.answer_attempt = request.request_id, request.attempts - 1
+        ended = AttemptEnded(
+            request.request_id, request.answer_attempt, NODE, AttemptResult.SERVED, 1000, True,
+            answer_continues=True,
+        )  # fmt: skip
+        self.feed(request.process, ended)
+
+    def _continued(self) -> list[Request]:
+        return [r for r in self.requests.values() if r.continues and not r.is_moving and r.process.alive]
+
+    def end_answer(self, which: int, ending: AnswerEnding) -> None:
+        """An answer that is passed on comes to its end, or moves to the successor."""
+        continued = self._continued()
+        if not continued:
+            return
+        request = continued[which % len(continued)]
+        process, answer_id, attempt = request.process, request.answer_id, request.answer_attempt
+        if ending is AnswerEnding.MOVED:
+            if not (process is self.old and self.new.alive):
+                return
+            request.process, request.is_moving = self.new, True
+            request.answer_id, request.answer_attempt = self.new.next_id, 0
+            self.new.next_id += 1
+            self.new.inbox.append(AnswerAdopted(request.answer_id, request.key))
+        else:
+            request.in_flight = request.continues = False
+            if ending is AnswerEnding.BROKEN:
+                self.paused[request.key] = self.now + PAUSE_US, request
+        self.feed(process, AnswerEnded(answer_id, attempt, ending))
+
+    def _lose_moving_answers(self) -> None:
+        """What is on its way over a link that breaks never arrives."""
+        for request in self.requests.values():
+            if request.is_moving:
+                request.is_moving = request.in_flight = request.continues = False
+                self.paused[request.key] = self.now + PAUSE_US, request
+
     def disconnect(self, which: int) -> None:
         pending = [r for r in self.requests.values() if not r.finished and r.process.alive]
         if pending:
@@ -171,6 +222,9 @@
         for process in self.processes:
             for _ in range(min(count, len(process.inbox))):
                 event = process.inbox.popleft()
+                if isinstance(event, AnswerAdopted):
+                    moved = next(r for r in self.requests.values() if r.answer_id == event.request_id)
+                    moved.is_moving = False
                 if isinstance(event, KeyClaimed) and event.claim_id in self.requests:
                     request = self.requests[event.claim_id]
                     request.known_at = request.known_at or self.now
@@ -196,11 +250,12 @@
     def _lose(self, process: Process) -> None:
         """A process dies: its connections are reset, and what it had in flight may be running."""
         process.alive = False
+        self._lose_moving_answers()
         for request in self.requests.values():
             if request.process is process:
                 if request.in_flight:
                     self.paused[request.key] = self.now + PAUSE_US, request
-                request.in_flight = False
+                request.in_flight = request.continues = False
                 request.finished = True
         for one in (self.old, self.new):
             one.inbox.clear()
@@ -227,7 +282,7 @@
         unfinished = [r for r in self.requests.values() if r.process is self.old and not r.finished]
         if not (self.old.alive and self.new.alive) or unfinished:
             return
-        report = self.old.gateway.ordered_keys.possibly_running()
+        report = self.old.gateway.ordered_keys.possibly_running(self.now)
         self._lose(self.old)
         self._new_decides(KeyAuthorityChanged(KeyAuthority.OWN, paused_keys=report))
 
@@ -235,6 +290,7 @@
         """The link breaks while both processes run, and is opened again within the pause of a key."""
         if not (self.old.alive and self.new.alive):
             return
+        self._lose_moving_answers()
         for process in (self.old, self.new):
             process.inbox.clear()
         for request in self.requests.values():
@@ -252,6 +308,7 @@
         for _ in range(400):
             self.deliver(1000)
             self.end_attempt(0, AttemptResult.SERVED)
+            self.end_answer(0, AnswerEnding.WHOLE)
             self.pass_time(10_000)
         assert all(request.finished for request in self.requests.values())
         for process in self.processes:
@@ -266,6 +323,8 @@
 COMMON = [
     st.tuples(st.just("send"), st.booleans(), st.integers(1, 2)),
     st.tuples(st.just("end_attempt"), st.integers(0, 9), RESULTS),
+    st.tuples(st.just("begin_answer"), st.integers(0, 9)),
+    st.tuples(st.just("end_answer"), st.integers(0, 9), st.sampled_from(AnswerEnding)),
     st.tuples(st.just("deliver"), st.integers(1, 4)),
     st.tuples(st.just("pass_time"), st.sampled_from([500, 5_000, 40_000, 130_000, 600_000])),
 ]
@@ -306,6 +365,74 @@
     assert [r.in_flight for r in two.requests.values()] == [False, False, True]
 
 
+def test_an_answer_that_moves_holds_its_key_until_its_end_at_the_successor() -> None:
+    """Guards against a request at either process beside an answer that has moved."""
+    two = TwoProcesses()
+    two.send(False, 1)
+    two.begin_answer(0)
+    two.send(False, 1)
+    two.end_answer(0, AnswerEnding.MOVED)
+    two.pass_time(1000)
+    two.send(True, 1)
+    assert states(two) == [True, False, False], "before the successor has claimed the key"
+    two.deliver(10)
+    two.deliver(10)
+    assert states(two) == [True, False, False]
+    two.end_answer(0, AnswerEnding.WHOLE)
+    two.deliver(10)
+    assert states(two) == [False, True, False]
+
+
+def test_an_answer_that_moves_and_is_lost_leaves_its_key_quiet() -> None:
+    two = TwoProcesses()
+    two.send(False, 1)
+    two.begin_answer(0)
+    two.send(False, 1)
+    two.end_answer(0, AnswerEnding.MOVED)
+    two.kill_new()
+    two.pass_time(PAUSE_US - 1000)
+    assert states(two) == [False, False]
+    two.pass_time(2000 + PAUSE_US)
+    assert states(two) == [False, True]
+
+
+def test_an_answer_that_moves_again_holds_its_key() -> None:
+    """Guards against a turn that is lost at the second replacement in a row."""
+    two = TwoProcesses()
+    two.send(False, 1)
+    two.begin_answer(0)
+    two.end_answer(0, AnswerEnding.MOVED)
+    two.deliver(10)
+    two.stop_old()
+    two.send(True, 1)
+    two.pass_time(PAUSE_US * 3)
+    assert states(two) == [True, False]
+    third = Gateway(two.new.gateway.state.settings, 9, two.now)
+    moved = two.requests[1]
+    two.feed(two.new, AnswerEnded(moved.answer_id, 0, AnswerEnding.MOVED))
+    two.pass_time(PAUSE_US * 3)
+    assert states(two) == [True, False], "the third process has not claimed it yet"
+    third.handle(two.now, [KeyAuthorityChanged(KeyAuthority.SIBLING)])
+    claims = third.handle(two.now, [AnswerAdopted(900_000, 1)])
+    assert [type(action) for action in claims] == [ClaimKey]
+    two.feed(two.new, KeyClaimed(900_000, 1, two.now, True))
+    two.pass_time(PAUSE_US * 3)
+    assert states(two) == [True, False]
+    releases = [a for a in third.handle(two.now, [AnswerEnded(900_000, 0, AnswerEnding.WHOLE)])]
+    assert [type(action) for action in releases] == [ReleaseKey]
+    moved.in_flight = False
+    two.feed(two.new, KeyReleased(900_000, 0))
+    assert states(two) == [False, True]
+
+
+def test_the_last_report_of_a_process_counts_from_its_time() -> None:
+    """Guards against a pause that is short by what has passed since the latest batch of events."""
+    two = TwoProcesses()
+    two.send(False, 1)
+    two.now += PAUSE_US // 2
+    assert two.old.gateway.ordered_keys.possibly_running(two.now) == ((1, two.now + PAUSE_US),)
+
+
 def test_a_silent_predecessor_lets_ordered_requests_wait_and_be_answered_in_time() -> None:
     two = TwoProcesses()
     two.send(True, 1)
