Reckon a request's wait from its true arrival in the test of full connections

The test slept 0.5 s before it looked for the request at the node and took that for its arrival, while it came after some 0.35 s, when silent clients are closed.

It looks all the time now, takes the moment at which the node's kernel received the bytes, counts from before the request is sent, and requires that the request has waited for longer than the slack. The slack is the same.

--- a/tests/http/test_kernel_wait.py
+++ b/tests/http/test_kernel_wait.py
@@ -54,11 +54,12 @@
     with faulty(tmp_path, library, [node], limits__sockets="40", categories__0__aim_us=AIM_US) as gateway:
         others = [socket.create_connection((HOST, gateway.port)) for _ in range(40)]
         time.sleep(0.02)
-        gateway.send_request("waits", 0, TIMEOUT_MS)
         began = time.monotonic()
-        time.sleep(0.5)
+        gateway.send_request("waits", 0, TIMEOUT_MS)
+        wait_until(lambda: node.requests > 0, 0.5)  # it comes as soon as silent clients are closed
         for other in others:
             other.close()
         assert wait_until(lambda: node.requests > 0, 3.0), gateway.text
-        arrived_after_s = time.monotonic() - began
+        arrived_after_s = time.monotonic() - began - node.received_ago_s
+        assert 1000 * arrived_after_s > SLACK_MS, "it did not wait for a place"
         assert forwarded_timeout_ms(node) < TIMEOUT_MS - 1000 * arrived_after_s + SLACK_MS
--- a/tests/support/faulty_process.py
+++ b/tests/support/faulty_process.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -26,6 +27,7 @@
 READY_S = 20.0
 HEARTBEAT_S = 1.0  # between empty lines of a watch
 HOST = "127.0.0.1"
+TCP_LAST_DATA_RECEIVED = struct.Struct("=52xI")  # in struct tcp_info, milliseconds
 Row = TypeVar("Row")
 Result = TypeVar("Result")
 
@@ -82,6 +84,15 @@
                 self._received[accepted] = self._received.get(accepted, b"") + accepted.recv(1 << 16)
         return sum(text.count(b"Request-Id: ") for text in self._received.values())
 
+    @property
+    def received_ago_s(self) -> float:
+        """How long ago the kernel has received the latest bytes of any connection (tcp(7), ``TCP_INFO``)."""
+        infos = [
+            accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_LAST_DATA_RECEIVED.size)
+            for accepted in self._accepted
+        ]
+        return min(int(TCP_LAST_DATA_RECEIVED.unpack(info)[0]) for info in infos) / 1000
+
     def close(self) -> None:
         for open_socket in (self.listener, *self._accepted):
             open_socket.close()
