--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -9,7 +9,7 @@
 from ..client_admission import CloseReason
 from ..core.ports import BodySink, BodySource, ClientRequest
 from ..net import Connection, unread
-from ..read_turns import BYTES_PER_WORK, REQUEST_WORK, Credit
+from ..read_turns import BYTES_PER_WORK, FULL_CREDIT, REQUEST_WORK, Credit
 from ..unread_output import UnreadOutput
 from .answer_heads import CONTINUE, answer_head, stream_head
 from .answer_stream import AnswerStream
@@ -48,6 +48,7 @@
         self._answered_early = False  # before its request was complete: the rest is discarded
         self._discarded = 0  # bytes received since the gateway began to close
         self.body_bytes = 0
+        self._chunks_before = 0  # that were read before the request that is arriving
         self.last_received_us = 0  # when the latest byte was received
         self.blocked_since_us = 0  # when the gateway started to close
         self.lingering = False
@@ -70,6 +71,17 @@
         waits = self._request_id is None and not self.input.parser.between_messages
         return waits and not (self.output.full or self.closing or self.lost or self.input.waits_for_turn)
 
+    @property
+    def is_costly(self) -> bool:
+        """Whether the body that is arriving costs more for its many small chunks than for its bytes.
+
+        Its client moves, but at the pace of its turns: what it has written lasts for long after it has gone.
+        """
+        if self.head is None or self._request_id is not None or self.closing or self.lost:
+            return False
+        chunks = self.input.parser.chunks_read - self._chunks_before
+        return chunks > max(FULL_CREDIT, self.body_bytes // BYTES_PER_WORK)
+
     @property
     def awaits_answer(self) -> bool:
         """Whether an answer is pending, for which the next request has to wait."""
@@ -174,7 +186,7 @@
         """Give up what the client holds: reject a request that is arriving, or abort an unread answer."""
         if self.output.full:
             self.link.abortConnection()
-        elif self.arriving:
+        elif self.arriving or self.is_costly:
             self.fail_input(503, "no memory or no place left", self.owner.retry_after_us)
 
     # ---- requests ----
@@ -240,6 +252,7 @@
         self._http_1_0 = head.http_1_0
         self.input.since_us = self.owner.clock.now_us()
         self.body_bytes = 0
+        self._chunks_before = self.input.parser.chunks_read
         head.target = origin_form(head.target)
         if head.target != HEALTH_PATH:
             if head.method not in METHODS:
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -199,14 +199,18 @@
             self._close_idle()
 
     def _free_stalled_places(self, now_us: int) -> None:
-        """End clients that stopped amid a request, or sent none: others wait in the kernel."""
+        """End clients that sent no request, stopped amid one, or send one at a great cost.
+
+        Others wait in the kernel.
+        """
         for connection in list(self._open):
             unused = priority_to_close(connection, now_us) == FIRST_PRIORITY
             if unused and not unread(connection.link):
                 connection.close(CloseReason.MADE_ROOM, at_once=True)
         arriving = [connection for connection in self._open if connection.arriving]
-        stalled = stalled_longest_first(arriving, now_us)
-        for connection in stalled[: max(1, self._max_connections // EVICTED_PLACES_DIVISOR)]:
+        costly = [connection for connection in self._open if connection.is_costly]
+        to_evict = dict.fromkeys(stalled_longest_first(arriving, now_us) + costly)
+        for connection in list(to_evict)[: max(1, self._max_connections // EVICTED_PLACES_DIVISOR)]:
             self._count_eviction()
             connection.evict()
 
--- a/tests/process/test_memory_limit.py
+++ b/tests/process/test_memory_limit.py
@@ -72,10 +72,13 @@
 
 @pytest.mark.parametrize(("behaviour", "connections"), [
     (Behaviour.HALF_UPLOADS, 150), (Behaviour.HALF_BODIES, 150), (Behaviour.MANY_FIELDS, 150),
-    (Behaviour.IDLE, 300),
+    (Behaviour.IDLE, 300), (Behaviour.ONE_BYTE_CHUNKS, 150),
 ])  # fmt: skip
 def test_new_clients_find_a_place_beside_a_crowd_that_stops_or_says_nothing(
     tmp_path: Path, behaviour: Behaviour, connections: int
 ) -> None:
-    """Guards against clients that wait in the kernel until such clients have run out of time."""
+    """Guards against clients that wait in the kernel until such clients have run out of time.
+
+    Those that send many small chunks move, but only in their turns.
+    """
     assert not press(tmp_path, 96, {behaviour: connections}, sockets=160, keeps_connection=False)
