Close no answer that was handed over for the limit of new clients

Cause: ClientServer.opened takes a connection that is handed over for a new client, and one that reads its answer for one that has said nothing.

Change: a connection that carries an answer is not closed; the old process reports its clients with each answer that it hands over; connections to nodes that move count beside the next process's share, as new requests got 503 there.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -132,6 +132,7 @@
         state = {"client": client.hand_over_stream().to_json(), "brick": node.hand_over_stream().to_json()}
         self._handover.hand_over_answer([detach(client.link), detach(node.link)], state)
         self.front.closed(client)
+        self._handover.report_clients(self.front.connections)  # its place is the successor's now
 
     def continue_answer(self, descriptors: list[int], state: dict[str, Any]) -> None:
         """Continue a streamed answer; if one of its connections has ended, the other is closed too."""
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -128,11 +128,14 @@
         return ClientConnection(self)
 
     def opened(self, connection: ClientConnection) -> None:
-        """Register a connection; above the limit, close an idle one, or this one after its answer."""
+        """Register a connection; above the limit, close an idle one, or this one after its answer.
+
+        One that was handed over has an answer under way, and is no new client, however long it is silent.
+        """
         self._open[connection] = None
         if self.over_limit:
             self.engine.counts["client_limit"] += 1
-            if self._was_silent_in_kernel(connection):
+            if connection.stream is None and self._was_silent_in_kernel(connection):
                 connection.close(CloseReason.MADE_ROOM, at_once=True)
             else:
                 connection.surplus = not self._close_one_idle()
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -52,6 +52,7 @@
         self._log = log
         self.change_timeouts(idle_us, connect_timeout_us)
         self._max_connections = max_connections
+        self._adopted: set[NodeConnection] = set()  # from another process, beyond the maximum
         self._addresses: dict[NodeId, NodeAddress] = {}
         self._nodes: dict[NodeId, NodeState] = {}
         self._in_maintenance: set[NodeId] = set()
@@ -70,8 +71,12 @@
         self._connect_timeout_s = connect_timeout_us / 1e6
 
     def limit(self, connections: int) -> None:
-        """Set the maximum number of connections; idle ones beyond it are closed."""
+        """Set the maximum number of connections; idle ones beyond it are closed.
+
+        Those that another process hands over from then on count beside it: they were a part of its share.
+        """
         self._max_connections = connections
+        self._adopted.clear()
         while self.connections > self._max_connections and self._close_longest_idle():
             pass
 
@@ -214,10 +219,11 @@
         connection = NodeConnection(self, node, node.generation)
         connection.take_over_stream(state, attempt, listener)
         node.busy.add(connection)
+        self._adopted.add(connection)
         try:
             attach(self._reactor, descriptor, connection)
         except OSError:
-            node.busy.discard(connection)
+            self.connection_ended(connection)
             raise
         return connection
 
@@ -311,7 +317,8 @@
         address = self._usable_address(node.node_id)
         if address is None or not self._needs_dial(node):
             return
-        if self.connections >= self._max_connections and not self._close_longest_idle():
+        most = self._max_connections + len(self._adopted)
+        if self.connections >= most and not self._close_longest_idle():
             if not node.connections:  # none could become free for it
                 self.finish(node.pending.popleft(), AttemptResult.NO_CONNECTION)
             return
@@ -386,6 +393,7 @@
     def connection_ended(self, connection: NodeConnection) -> None:
         """Forget a closed connection; pending requests may need a new one."""
         node = connection.node
+        self._adopted.discard(connection)
         node.busy.discard(connection)
         if connection in node.idle:
             node.idle.remove(connection)
