Confirm the abort of a write on the iSCSI front once its node has ended it

Cause: the abort was answered at once, while an attempt that is written goes on at its node.

Change: the write is aborted at its node; the responses to the abort and to the logout, and the login of the initiator's next session, wait for the node's response, and say so where the end cannot be known. Reads are as before.

--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from gaugesail.policy.actions import (
     Action,
@@ -25,6 +26,7 @@
     WriteLog,
 )
 from gaugesail.policy.events import (
+    AttemptResult,
     ClientDisconnected,
     EndpointList,
     EndpointState,
@@ -265,6 +267,21 @@
             if in_flight.ended and not entry.may_have_run:
                 self.request_ids.forget(name)
 
+    def abort_request(self, request_id: int, ended: Callable[[bool], None]) -> None:
+        """Close a request that its client has aborted, and abort its attempt at the node.
+
+        ``ended`` is called once nothing of the request can run any more; with False if that cannot be known.
+        """
+        entry = self._open.get(request_id)
+        if entry is None:
+            ended(True)
+            return
+        in_flight = entry.in_flight
+        self.client_disconnected(request_id)
+        if in_flight is not None and not in_flight.ended:
+            self.attempts.abort(in_flight, AttemptResult.CANCELLED)
+        self._transport.when_aborted(entry.request.client_request_id, ended)
+
     def refuse_latest_waiting(self) -> bool:
         """Refuse the latest received request that was never sent to a node, as its memory is needed.
 
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -228,6 +228,13 @@
         """Abort an attempt if its last byte has not been written; returns whether it was aborted."""
         ...
 
+    def when_aborted(self, client_request_id: str, ended: Callable[[bool], None]) -> None:
+        """Call ``ended`` once none of a request's aborted attempts can run any more.
+
+        It is called with False where that cannot be known.
+        """
+        ...
+
     def stage_upload(self, node_id: NodeId, request: ClientRequest, source: BodySource) -> BodySink | None:
         """Start writing a large request while it is received, withholding its end; None if not possible."""
         ...
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -208,6 +209,10 @@
         connection = attempt.connection
         return isinstance(connection, NodeConnection) and not connection.written and not self.abort(attempt)
 
+    def when_aborted(self, client_request_id: str, ended: Callable[[bool], None]) -> None:
+        """Call ``ended`` at once: a node does not tell whether it goes on with an aborted request."""
+        ended(False)
+
     def take_over(
         self, descriptor: int, state: NodeStreamState, attempt: Attempt, listener: AttemptListener
     ) -> NodeConnection:
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -25,6 +26,7 @@
     Reactor,
 )
 from ..net import Connection, abort, dial, send_now
+from .aborted_writes import SeveralAborts
 from .operator import StorageNode
 from .pdu import (
     FINAL,
@@ -45,6 +47,7 @@
 )
 from .target import Transfer
 
+TASK_ABORTED, NO_SUCH_TASK = 0, 1  # responses to an ABORT TASK, RFC 7143 section 11.6.1
 ABORT_TIMEOUT_US = 1_000_000  # a session without a response to an ABORT TASK is dropped after this time
 HEALTH_CHECK_US = 250_000
 
@@ -65,6 +68,15 @@
     done: bool = False
 
 
+@dataclass(slots=True, eq=False)
+class _PendingAbort:
+    """An ABORT TASK without a response."""
+
+    sent_us: int
+    client_request_id: str  # of the aborted attempt; "" of a health check
+    ended: list[Callable[[bool], None]] = field(default_factory=list)  # called with whether its end is known
+
+
 class NodeSession(Connection):
     """One session: a login, then commands by initiator task tag.
 
@@ -79,7 +91,7 @@
         self._cmd_sn, self._max_cmd_sn, self._exp_stat_sn = 1, 0, 0
         self._next_itt = 1
         self.commands: dict[int, _Command] = {}
-        self._aborting: dict[int, int] = {}  # tag of the ABORT TASK: when it was sent
+        self._aborting: dict[int, _PendingAbort] = {}  # by the tag of the ABORT TASK
 
     @property
     def has_window(self) -> bool:
@@ -129,7 +141,7 @@
         if not self.ready:
             self._logged_in(pdu)
         elif pdu.opcode == Op.TASK_RESPONSE:
-            self._aborting.pop(pdu.itt, None)
+            self._abort_ended(pdu.itt, pdu.byte2 in (TASK_ABORTED, NO_SUCH_TASK))
         elif pdu.opcode == Op.REJECT:
             self._rejected(pdu)
         elif pdu.opcode == Op.NOP_IN and pdu.itt == NO_TAG:
@@ -188,7 +200,7 @@
     def _rejected(self, pdu: Pdu) -> None:
         """Fail the task whose PDU was rejected; the Reject's data is the header of that PDU."""
         itt = int.from_bytes(pdu.data[16:20], "big") if len(pdu.data) >= 20 else NO_TAG
-        self._aborting.pop(itt, None)
+        self._abort_ended(itt, False)
         if (command := self.commands.get(itt)) is not None:
             self._end(command, AttemptResult.ERROR)
 
@@ -253,15 +265,26 @@
         if self.commands.pop(command.itt, None) is None or self.lost:
             return
         tag, self._next_itt = self._next_itt, self._next_itt % (NO_TAG - 1) + 1
-        self._aborting[tag] = self._pool.clock.now_us()
+        name = command.attempt.client_request_id if command.attempt is not None else ""
+        self._aborting[tag] = _PendingAbort(self._pool.clock.now_us(), name)
         words = {20: command.itt, 24: self._cmd_sn, 28: self._exp_stat_sn}
         lun = lun_bytes(command.transfer.lun) if command.transfer is not None else bytes(8)
         self._write(Op.TASK, FINAL | 1, tag, words, lun=lun, immediate=True)
         self._pool.watch_aborts()
 
+    def _abort_ended(self, tag: int, is_known: bool) -> None:
+        pending = self._aborting.pop(tag, None)
+        if pending is not None:
+            for call in pending.ended:
+                call(is_known)
+
+    def aborts_of(self, client_request_id: str) -> list[_PendingAbort]:
+        """Return the aborts of a request's attempts that have no response."""
+        return [abort for abort in self._aborting.values() if abort.client_request_id == client_request_id]
+
     def abort_timed_out(self, now: int) -> bool:
         """Whether an ABORT TASK has had no response for ABORT_TIMEOUT_US: the node no longer responds."""
-        return any(now - aborted_at >= ABORT_TIMEOUT_US for aborted_at in self._aborting.values())
+        return any(now - pending.sent_us >= ABORT_TIMEOUT_US for pending in self._aborting.values())
 
     @property
     def aborting(self) -> bool:
@@ -299,6 +322,8 @@
         self._pool.session_lost(self._state, self)
         for command in commands:
             self._pool.finish(command, result)
+        for tag in list(self._aborting):
+            self._abort_ended(tag, False)
 
 
 @dataclass(slots=True, eq=False)
@@ -425,6 +450,13 @@
             return True
         return False
 
+    def when_aborted(self, client_request_id: str, ended: Callable[[bool], None]) -> None:
+        """Call ``ended`` once the nodes have responded to all aborts of a request's attempts."""
+        pending = [abort for session in self._sessions for abort in session.aborts_of(client_request_id)]
+        waits = SeveralAborts(len(pending), ended)
+        for abort_task in pending:
+            abort_task.ended.append(waits.one_ended)
+
     def cancel_unwritten(self, attempt: Attempt) -> bool:
         """Abort a write whose data has not all been sent; whether it was aborted."""
         command = attempt.connection
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -18,6 +18,7 @@
 from ..peer_progress import PeerProgress
 from ..read_turns import BYTES_PER_WORK, REQUEST_WORK, Credit
 from ..unread_output import UnreadOutput
+from .aborted_writes import SeveralAborts
 from .operator import Extent, LogicalUnit
 from .pdu import (
     FINAL,
@@ -44,6 +45,10 @@
 
 COMMAND_WINDOW = 32  # commands that a session may have in flight
 MAX_TRANSFER_BYTES = 256 * 1024  # with COMMAND_WINDOW it bounds the memory that one slow client can use
+ABORT_TASK = 1  # the task management function
+# Responses to task management functions, RFC 7143 section 11.6.1.
+FUNCTION_COMPLETE, NO_SUCH_TASK, FUNCTION_NOT_SUPPORTED, FUNCTION_REJECTED = 0, 1, 5, 255
+CLEANUP_FAILED = 3  # response to a logout, RFC 7143 section 11.15.1
 LOGIN_TIMEOUT_US = 2_500_000  # for a login, and for the reception of one PDU
 LOGIN_DELAY_US = 250_000  # after which a session without a login may be closed in favour of another
 CLOSING_US = 10_000_000  # after which a session that is closing ends, whatever its client has not read
@@ -140,7 +145,9 @@
         self._tasks: dict[int, Task] = {}
         self._phase_since_us = 0  # when the present wait began: for the login, the reader or the close
         self._partial_since_us = 0  # when the first bytes of an incomplete PDU came; 0 if there is none
-        self._closing = self._waits_for_turn = False
+        self._closing = self._waits_for_turn = self._logs_out = False
+        self._initiator = ""  # its name
+        self._aborts: dict[int, list[int]] = {}  # the tags of ABORT TASKs without a response, by the task's
         self._output = UnreadOutput(front.clock, front.pool, front.holders)
         self._input_steps = PeerProgress()
         self.credit = Credit()
@@ -153,8 +160,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no command is in flight, or has been received in part."""
-        return not (self._tasks or self._reader.buffered)
+        """Whether no command is in flight, was received in part, or is being aborted."""
+        return not (self._tasks or self._reader.buffered or self._aborts or self._logs_out)
 
     @property
     def client_disconnected(self) -> bool:
@@ -248,7 +255,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Twisted: bytes were received; a PDU that violates the protocol is rejected."""
-        if self._closing or self.lost:
+        if self._closing or self.lost or self._logs_out:
             return
         self.last_received_us = self._front.clock.now_us()
         if any(task.r2t_end for task in self._tasks.values()):
@@ -261,7 +268,7 @@
             for pdu in self._reader.pdus():
                 work += REQUEST_WORK
                 self._partial_since_us = 0
-                if self._closing or self.lost:
+                if self._closing or self.lost or self._logs_out:
                     return
                 try:
                     self._dispatch(pdu)
@@ -323,6 +330,7 @@
         first, target = self._stat_sn == 1, self._front.operator.target
         if first:
             self._discovery = offered.get("SessionType") == "Discovery"
+            self._initiator = offered.get("InitiatorName", "")
         if pdu.byte3 > 0:
             status = 0x0205  # unsupported version
         elif csg == 2 or (transit and (nsg <= csg or nsg == 2)) or pdu.flags & 0x40:
@@ -344,8 +352,15 @@
         self._exp_cmd_sn = pdu.word(24)
         if first and not self._discovery:
             answer["TargetPortalGroupTag"] = "1"
-        self._login_answer(pdu, pdu.flags & 0x8F, answer, 0)
-        if transit and nsg == 3:
+        if not (transit and nsg == 3):
+            self._login_answer(pdu, pdu.flags & 0x8F, answer, 0)
+            return
+        # What an earlier session has left of its writes may not run after what this one is about to write.
+        self._front.aborted_writes.when_ended(self._initiator, lambda: self._complete_login(pdu, answer))
+
+    def _complete_login(self, pdu: Pdu, answer: dict[str, str]) -> None:
+        if not (self._closing or self.lost):
+            self._login_answer(pdu, pdu.flags & 0x8F, answer, 0)
             self._state = "full"
 
     def _login_answer(self, pdu: Pdu, flags: int, answer: dict[str, str], status: int) -> None:
@@ -368,23 +383,44 @@
         self._send(Op.TEXT_RESPONSE, FINAL, pdu.itt, {20: NO_TAG}, data=write_text(answer))
 
     def _logout(self, pdu: Pdu) -> None:
-        for task in list(self._tasks.values()):
-            self._abort_task(task)
-        self._send(Op.LOGOUT_RESPONSE, FINAL, pdu.itt)
-        self.close()
+        """Answer a logout once nothing of the session's commands can run any more."""
+        self._logs_out = True
+        tasks = list(self._tasks.values())
+        aborts = SeveralAborts(len(tasks), lambda is_known: self._logged_out(pdu.itt, is_known))
+        for task in tasks:
+            self._abort_task(task, aborts.one_ended)
+
+    def _logged_out(self, itt: int, is_known: bool) -> None:
+        if not (self._closing or self.lost):
+            self._send(Op.LOGOUT_RESPONSE, FINAL, itt, byte2=0 if is_known else CLEANUP_FAILED)
+            self.close()
 
     def _task_management(self, pdu: Pdu) -> None:
-        """Handle ABORT TASK: the task ends without a status, and the engine drops its request.
+        """Handle ABORT TASK: the task ends without a status, and the engine aborts its request.
 
-        Other functions are not supported.
+        The response follows once nothing of the task can run any more.  Other functions are not supported.
         """
-        function, response = pdu.flags & 0x7F, 5  # not supported
-        if function == 1:
-            task = self._tasks.get(pdu.word(20))
-            response = 0 if task is not None else 1
-            if task is not None:
-                self._abort_task(task)
-        self._send(Op.TASK_RESPONSE, FINAL, pdu.itt, byte2=response)
+        if pdu.flags & 0x7F != ABORT_TASK:
+            self._send(Op.TASK_RESPONSE, FINAL, pdu.itt, byte2=FUNCTION_NOT_SUPPORTED)
+            return
+        tag = pdu.word(20)
+        task = self._tasks.get(tag)
+        if task is not None:
+            tags = self._aborts[tag] = [pdu.itt]
+            self._abort_task(task, lambda is_known: self._task_aborted(tag, tags, is_known))
+        elif tag in self._aborts:
+            self._aborts[tag].append(pdu.itt)
+        else:
+            self._send(Op.TASK_RESPONSE, FINAL, pdu.itt, byte2=NO_SUCH_TASK)
+
+    def _task_aborted(self, tag: int, waiting_tags: list[int], is_known: bool) -> None:
+        """Respond to the ABORT TASKs of one task."""
+        if self._aborts.get(tag) is waiting_tags:
+            del self._aborts[tag]
+        for itt in waiting_tags:
+            if not (self._closing or self.lost):
+                response = FUNCTION_COMPLETE if is_known else FUNCTION_REJECTED
+                self._send(Op.TASK_RESPONSE, FINAL, itt, byte2=response)
 
     # ---- commands ----
 
@@ -562,14 +598,30 @@
 
     # ---- ends of tasks ----
 
-    def _abort_task(self, task: Task) -> None:
-        """End a task without a status, and its request in the engine."""
-        if self._tasks.pop(task.itt, None) is not None:
-            task.done = True
-            if task.body is not None:
-                task.body.release()
+    def _abort_task(self, task: Task, ended: Callable[[bool], None] = lambda is_known: None) -> None:
+        """End a task without a status, and its request in the engine.
+
+        ``ended`` is called once it can change nothing any more, with False if that cannot be known.  A read
+        never does, so that its attempt goes on: its node works on it anyway.
+        """
+        if self._tasks.pop(task.itt, None) is None:
+            return
+        task.done = True
+        if task.body is not None:
+            task.body.release()
+        if not (task.request_id and task.write):
             if task.request_id:
                 self._front.engine.client_disconnected(task.request_id)
+            ended(True)
+            return
+        initiator, aborted_writes = self._initiator, self._front.aborted_writes
+
+        def write_ended(is_known: bool) -> None:
+            aborted_writes.end(initiator)
+            ended(is_known)
+
+        aborted_writes.begin(initiator)
+        self._front.engine.abort_request(task.request_id, write_ended)
 
     def reject_incomplete(self) -> None:
         """End the writes whose data is still being received, as the process is about to end."""
--- a/gaugesail/iscsi/target_server.py
+++ b/gaugesail/iscsi/target_server.py
@@ -15,6 +15,7 @@
 from ..memory_holders import MemoryHolders
 from ..net import unread
 from ..read_turns import ReadTurns
+from .aborted_writes import AbortedWrites
 from .operator import OperatorConfig
 from .target import TargetConnection
 
@@ -47,6 +48,7 @@
         self._open: dict[TargetConnection, None] = {}
         self.turns = ReadTurns(clock)
         self.holders = MemoryHolders(pool, clock, self._count_eviction, engine.refuse_latest_waiting)
+        self.aborted_writes = AbortedWrites()
         self._last_request_id = 0
         self._id_prefix = os.urandom(6).hex()  # not that of another process of this gateway
 
