--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -132,7 +132,6 @@
         state = {"client": client.hand_over_stream().to_json(), "brick": node.hand_over_stream().to_json()}
         self._handover.hand_over_answer([detach(client.link), detach(node.link)], state)
         self.front.closed(client)
-        self._handover.report_clients(self.front.connections)  # its place is the successor's now
 
     def continue_answer(self, descriptors: list[int], state: dict[str, Any]) -> None:
         """Continue a streamed answer; if one of its connections has ended, the other is closed too."""
@@ -148,6 +147,7 @@
             reset(client_descriptor)  # a regular close could pass for the end of the answer
             attempts.attempt_ended(attempt, AttemptResult.RESET)
             return
+        self.front.predecessor_handed_over()
         client = self.front.buildProtocol(None)
         stream = client.take_over_stream(client_state, attempt.client_request_id, node)
         try:
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -70,6 +70,7 @@
     def limit(self, capacity: ClientCapacity) -> None:
         """Set the connection limit and the overflow."""
         self._own_capacity = capacity.connections
+        self._predecessor_clients = 0  # as it has reported
         self._overflow = capacity.overflow
         self._set_capacity(capacity.connections)
 
@@ -77,8 +78,14 @@
         """Share the capacity with another process of this gateway that still has ``clients`` connections."""
         # This process may use what the other one leaves of both limits.  A fixed half would starve the usual
         # clients during a flood, most of which is still connected to the other process.
+        self._predecessor_clients = clients
         self._set_capacity(max(MIN_CAPACITY_BESIDE, 2 * self._own_capacity - clients))
 
+    def predecessor_handed_over(self) -> None:
+        """Take over the place of a connection that the other process hands over; it has one client less."""
+        if self._predecessor_clients:
+            self.reserve_for_predecessor(self._predecessor_clients - 1)
+
     def _set_capacity(self, connections: int) -> None:
         self._max_connections = connections
         self._max_with_overflow = connections + self._overflow
