Take the login, the local commands and the block ranges out of the iSCSI session

Change: task.py (one command), target_login.py (whether a login is taken), local_commands.py (what needs no node) and read_write.py (what a command descriptor block asks for), with named codes in place of numbers and a typed exception for CHECK CONDITION. Nothing else changes.

--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -45,7 +45,7 @@
     read_text,
     write_text,
 )
-from .target import Transfer
+from .task import Transfer
 
 TASK_ABORTED, NO_SUCH_TASK = 0, 1  # responses to an ABORT TASK, RFC 7143 section 11.6.1
 ABORT_TIMEOUT_US = 1_000_000  # a session without a response to an ABORT TASK is dropped after this time
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import struct
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
 from ..buffers import Body, PoolEmpty
-from ..core.ports import BodySource, ClientRequest, FailureReason
+from ..core.ports import ClientRequest
 from ..memory_budget import REQUEST_RECORD_BYTES
 from ..net import Connection, unread
 from ..output_progress import UNREAD_US
@@ -19,7 +17,8 @@
 from ..read_turns import BYTES_PER_WORK, REQUEST_WORK, Credit
 from ..unread_output import UnreadOutput
 from .aborted_writes import SeveralAborts
-from .operator import Extent, LogicalUnit
+from .local_commands import CheckCondition, Units, parameter_data
+from .operator import LogicalUnit
 from .pdu import (
     FINAL,
     NO_TAG,
@@ -32,19 +31,28 @@
     Reason,
     Status,
     fields,
-    lun_bytes,
     lun_number,
     negotiate,
     read_text,
     sense,
     write_text,
 )
+from .read_write import READS_AND_WRITES, read_transfer
+from .target_login import LoginRequest, LoginStatus, is_last_stage, login_status
+from .task import (
+    ABORTED_COMMAND,
+    COMMUNICATION_TIMEOUT,
+    DATA_PHASE_ERROR,
+    HARDWARE_ERROR,
+    INTERNAL_TARGET_FAILURE,
+    Task,
+    Transfer,
+)
 
 if TYPE_CHECKING:
     from .target_server import TargetFront
 
 COMMAND_WINDOW = 32  # commands that a session may have in flight
-MAX_TRANSFER_BYTES = 256 * 1024  # with COMMAND_WINDOW it bounds the memory that one slow client can use
 ABORT_TASK = 1  # the task management function
 # Responses to task management functions, RFC 7143 section 11.6.1.
 FUNCTION_COMPLETE, NO_SUCH_TASK, FUNCTION_NOT_SUPPORTED, FUNCTION_REJECTED = 0, 1, 5, 255
@@ -53,82 +61,6 @@
 LOGIN_DELAY_US = 250_000  # after which a session without a login may be closed in favour of another
 CLOSING_US = 10_000_000  # after which a session that is closing ends, whatever its client has not read
 MAX_READS_AHEAD = 4  # of a connection, before the next reactor iteration reads it
-# Sense keys, then additional sense codes with their qualifiers (SCSI Primary Commands).
-ILLEGAL_REQUEST, ABORTED_COMMAND, HARDWARE_ERROR = 0x05, 0x0B, 0x04
-NO_SUCH_UNIT, INVALID_OPCODE, LBA_OUT_OF_RANGE, INVALID_CDB_FIELD = (0x25, 0), (0x20, 0), (0x21, 0), (0x24, 0)
-COMMUNICATION_TIMEOUT, INTERNAL_TARGET_FAILURE, DATA_PHASE_ERROR = (0x08, 0x01), (0x44, 0), (0x4B, 0)
-
-
-@dataclass(slots=True)
-class Transfer:
-    """A read or write of blocks: the payload of its request."""
-
-    write: bool
-    lun: int
-    lba: int
-    blocks: int
-    length: int
-    body: Body
-
-
-class Task:
-    """One command from its arrival to its status; also the engine's Reply for it."""
-
-    __slots__ = (
-        "body",
-        "connection",
-        "data_sn",
-        "deadline_us",
-        "done",
-        "expected",
-        "extent",
-        "itt",
-        "lba",
-        "length",
-        "lun",
-        "r2t_end",
-        "r2t_sn",
-        "received_at_us",
-        "request_id",
-        "write",
-    )  # fmt: skip
-
-    def __init__(self, connection: TargetConnection, pdu: Pdu, received_at_us: int) -> None:
-        self.connection, self.itt, self.lun, self.received_at_us = (
-            connection,
-            pdu.itt,
-            pdu.lun,
-            received_at_us,
-        )
-        self.expected = pdu.word(20)  # Expected Data Transfer Length
-        self.body: Body | None = None
-        self.extent: Extent | None = None
-        self.length = self.lba = self.deadline_us = self.request_id = 0
-        self.r2t_sn = self.r2t_end = self.data_sn = 0
-        self.write = self.done = False
-
-    def start_stream(self, source: BodySource) -> None:
-        """Fail the command: nothing is streamed, as transfers are bounded and nodes' answers complete."""
-        self.connection.check_condition(self, HARDWARE_ERROR, INTERNAL_TARGET_FAILURE)
-
-    def send_answer(self, answer: Any) -> None:
-        """Complete the command with the data that the node returned."""
-        self.connection.end(self, Status.GOOD, b"" if self.write else answer)
-
-    def reject(self, retry_after_us: int) -> None:
-        """Complete the command with status BUSY, which has no time to retry after."""
-        self.connection.end(self, Status.BUSY)
-
-    def client_has_disconnected(self) -> bool:
-        """Whether the client has disconnected or aborted the command."""
-        return self.connection.client_disconnected or self.done
-
-    def fail(self, reason: FailureReason) -> None:
-        """Complete the command with CHECK CONDITION."""
-        code = COMMUNICATION_TIMEOUT if reason is FailureReason.OUT_OF_TIME else INTERNAL_TARGET_FAILURE
-        self.connection.check_condition(
-            self, ABORTED_COMMAND if code is COMMUNICATION_TIMEOUT else HARDWARE_ERROR, code
-        )
 
 
 class TargetConnection(Connection):
@@ -270,22 +202,29 @@
                 self._partial_since_us = 0
                 if self._closing or self.lost or self._logs_out:
                     return
-                try:
-                    self._dispatch(pdu)
-                except BadPdu as error:
-                    self._reject(error.reason, pdu.header(), str(error))
-                    if self._state == "login":
-                        self.close()
-                except Exception as error:  # a fault in this code fails the command, not the session
-                    self._front.engine.counts["front_raised"] += 1
-                    self._front.log.error("front_raised", error=repr(error))
-                    if (task := self._tasks.get(pdu.itt)) is not None:
-                        self.check_condition(task, HARDWARE_ERROR, INTERNAL_TARGET_FAILURE)
+                self._handle(pdu)
         except BadPdu as error:
             # The start of the next PDU is unknown: close the connection.
             self._reject(error.reason, error.header, str(error))
             self.close()
         self._front.turns.spend(self, work)
+        self._note_partial_pdu()
+
+    def _handle(self, pdu: Pdu) -> None:
+        """Handle a PDU; a fault of it, or of this code, ends no more than its command."""
+        try:
+            self._dispatch(pdu)
+        except BadPdu as error:
+            self._reject(error.reason, pdu.header(), str(error))
+            if self._state == "login":
+                self.close()
+        except Exception as error:
+            self._front.engine.counts["front_raised"] += 1
+            self._front.log.error("front_raised", error=repr(error))
+            if (task := self._tasks.get(pdu.itt)) is not None:
+                self.check_condition(task, HARDWARE_ERROR, INTERNAL_TARGET_FAILURE)
+
+    def _note_partial_pdu(self) -> None:
         if not self._reader.buffered:
             self._partial_since_us = 0
         elif not self._partial_since_us:
@@ -319,51 +258,42 @@
         handler(pdu)
 
     def _login(self, pdu: Pdu) -> None:
-        csg, nsg, transit = pdu.flags >> 2 & 3, pdu.flags & 3, bool(pdu.flags & FINAL)
         try:
             offered = read_text(pdu.data)
             answer = negotiate(offered, self._limits)
         except BadPdu:
-            self._login_answer(pdu, 0, {}, 0x0200)
+            self._login_answer(pdu, 0, {}, LoginStatus.INITIATOR_ERROR)
             self.close()
             return
-        first, target = self._stat_sn == 1, self._front.operator.target
+        first = self._stat_sn == 1
         if first:
             self._discovery = offered.get("SessionType") == "Discovery"
             self._initiator = offered.get("InitiatorName", "")
-        if pdu.byte3 > 0:
-            status = 0x0205  # unsupported version
-        elif csg == 2 or (transit and (nsg <= csg or nsg == 2)) or pdu.flags & 0x40:
-            status = 0x020B  # invalid stage transition, or continued text
-        elif first and ("InitiatorName" not in offered or not (self._discovery or "TargetName" in offered)):
-            status = 0x0207  # missing parameter
-        elif not self._discovery and offered.get("TargetName", target) != target:
-            status = 0x0203  # target not found
-        elif "Reject" in answer.values():
-            status = 0x0201  # authentication failure: no common method
-        else:
-            status = 0
-        if self.reject_login:
-            status = 0x0301  # service unavailable: retry later
-        if status:
+        status = LoginStatus.SERVICE_UNAVAILABLE
+        if not self.reject_login:
+            wanted = LoginRequest(pdu, offered, first, self._discovery)
+            status = login_status(wanted, self._front.operator.target, "Reject" in answer.values())
+        if status is not LoginStatus.SUCCESS:
             self._login_answer(pdu, 0, {}, status)
             self.close()
             return
         self._exp_cmd_sn = pdu.word(24)
         if first and not self._discovery:
             answer["TargetPortalGroupTag"] = "1"
-        if not (transit and nsg == 3):
-            self._login_answer(pdu, pdu.flags & 0x8F, answer, 0)
+        if not is_last_stage(pdu):
+            self._login_answer(pdu, pdu.flags & 0x8F, answer)
             return
         # What an earlier session has left of its writes may not run after what this one is about to write.
         self._front.aborted_writes.when_ended(self._initiator, lambda: self._complete_login(pdu, answer))
 
     def _complete_login(self, pdu: Pdu, answer: dict[str, str]) -> None:
         if not (self._closing or self.lost):
-            self._login_answer(pdu, pdu.flags & 0x8F, answer, 0)
+            self._login_answer(pdu, pdu.flags & 0x8F, answer)
             self._state = "full"
 
-    def _login_answer(self, pdu: Pdu, flags: int, answer: dict[str, str], status: int) -> None:
+    def _login_answer(
+        self, pdu: Pdu, flags: int, answer: dict[str, str], status: LoginStatus = LoginStatus.SUCCESS
+    ) -> None:
         lun = pdu.lun[:6] + (b"\0\1" if flags & FINAL and flags & 3 == 3 else pdu.lun[6:])
         self._send(Op.LOGIN_RESPONSE, flags, pdu.itt, {36: status << 16}, lun=lun, data=write_text(answer))
 
@@ -429,11 +359,11 @@
             raise BadPdu(f"initiator task tag {pdu.itt:#x} is in use or reserved", reason=Reason.BAD_FIELD)
         if self._discovery:
             raise BadPdu("SCSI command in a discovery session")
-        task = Task(self, pdu, self._front.clock.now_us())
+        task = Task.of(self, pdu, self._front.clock.now_us())
         self._tasks[pdu.itt] = task
         unit, cdb = self._front.operator.units.get(lun_number(pdu.lun)), pdu.cdb
         try:
-            if cdb[0] in (0x28, 0x88, 0x2A, 0x8A):
+            if cdb[0] in READS_AND_WRITES:
                 self._read_or_write(task, unit, pdu)
             else:
                 self._answer_locally(task, unit, cdb)
@@ -442,72 +372,24 @@
             self.end(task, Status.TASK_SET_FULL)
 
     def _answer_locally(self, task: Task, unit: LogicalUnit | None, cdb: bytes) -> None:
-        """Answer a command that needs no node: REPORT LUNS, INQUIRY, TEST UNIT READY, READ CAPACITY."""
-        if cdb[0] == 0xA0:
-            numbers = sorted(self._front.operator.units)
-            entries = b"".join(map(lun_bytes, numbers))
-            self._send_parameter_data(
-                task, struct.pack(">II", len(entries), 0) + entries, int.from_bytes(cdb[6:10], "big")
-            )
-        elif cdb[0] == 0x12:
-            self._inquiry(task, unit, cdb)
-        elif unit is None:
-            self.check_condition(task, ILLEGAL_REQUEST, NO_SUCH_UNIT)
-        elif cdb[0] == 0x00:
-            self.end(task, Status.GOOD)
-        elif cdb[0] == 0x25:
-            last = min(unit.blocks - 1, 0xFFFFFFFF)
-            self._send_parameter_data(task, struct.pack(">II", last, unit.block_size), 8)
-        elif cdb[0] == 0x9E and cdb[1] & 0x1F == 0x10:
-            data = struct.pack(">QI", unit.blocks - 1, unit.block_size).ljust(32, b"\0")
-            self._send_parameter_data(task, data, int.from_bytes(cdb[10:14], "big"))
-        else:
-            self.check_condition(task, ILLEGAL_REQUEST, INVALID_OPCODE)
-
-    def _inquiry(self, task: Task, unit: LogicalUnit | None, cdb: bytes) -> None:
-        size = int.from_bytes(cdb[3:5], "big")
-        kind = 0x00 if unit is not None else 0x7F  # peripheral qualifier and type; 0x7F: no logical unit
-        if not cdb[1] & 1 and not cdb[2]:
-            data = bytes([kind, 0, 6, 2, 31, 0, 0, 2]) + b"GAUGESAIHEAD            0001"
-            self._send_parameter_data(task, data, size)
-        elif cdb[1] & 1 and cdb[2] == 0x00:
-            self._send_parameter_data(task, bytes([kind, 0, 0, 2, 0x00, 0x83]), size)
-        elif cdb[1] & 1 and cdb[2] == 0x83 and unit is not None:
-            name = f"{self._front.operator.target}:{unit.number}".encode()[:200]
-            page = bytes([0x02, 0x01, 0, len(name)]) + name
-            self._send_parameter_data(task, bytes([kind, 0x83]) + len(page).to_bytes(2, "big") + page, size)
+        """Answer a command that needs no node."""
+        operator = self._front.operator
+        try:
+            data = parameter_data(cdb, unit, Units(operator.target, operator.units))
+        except CheckCondition as condition:
+            self.check_condition(task, condition.key, condition.code)
         else:
-            self.check_condition(task, ILLEGAL_REQUEST, INVALID_CDB_FIELD)
-
-    def _send_parameter_data(self, task: Task, data: bytes, allowed: int) -> None:
-        self.end(task, Status.GOOD, data[:allowed])
+            self.end(task, Status.GOOD, data)
 
     def _read_or_write(self, task: Task, unit: LogicalUnit | None, pdu: Pdu) -> None:
-        cdb = pdu.cdb
-        task.write = cdb[0] in (0x2A, 0x8A)
-        if cdb[0] & 0x80:
-            task.lba, count = struct.unpack(">QI", cdb[2:14])
-        else:
-            task.lba, count = struct.unpack(">I", cdb[2:6])[0], struct.unpack(">H", cdb[7:9])[0]
-        if unit is None:
-            self.check_condition(task, ILLEGAL_REQUEST, NO_SUCH_UNIT)
-            return
-        if task.lba + count > unit.blocks:
-            self.check_condition(task, ILLEGAL_REQUEST, LBA_OUT_OF_RANGE)
+        try:
+            read_transfer(task, unit, pdu)
+        except CheckCondition as condition:
+            self.check_condition(task, condition.key, condition.code)
             return
-        task.length = count * unit.block_size
-        wants = 0x20 if task.write else 0x40
-        if count == 0:
+        if not task.length:
             self.end(task, Status.GOOD)
             return
-        task.extent = unit.extent(task.lba, count)
-        # A range over two extents would need two nodes for one command: the client has to split it.
-        if task.extent is None or task.length > MAX_TRANSFER_BYTES or not pdu.flags & wants:
-            self.check_condition(task, ILLEGAL_REQUEST, INVALID_CDB_FIELD)
-            return
-        if task.write and task.expected < task.length:
-            self.check_condition(task, ILLEGAL_REQUEST, INVALID_CDB_FIELD)
-            return
         if self._front.engine.closing:  # its data would come too late
             self.end(task, Status.BUSY)
             return
@@ -516,19 +398,25 @@
         task.body = Body(self._front.pool)
         task.body.reserve(REQUEST_RECORD_BYTES + (0 if task.write else task.length))
         if task.write:
-            if pdu.data and not self._limits.immediate_data:
-                raise self._data_error(task, "immediate data, but ImmediateData=No was negotiated")
-            if len(pdu.data) > min(task.length, self._limits.first_burst):
-                raise self._data_error(
-                    task,
-                    f"immediate data: expected at most {self._limits.first_burst} bytes, or"
-                    f" {task.length} of the command, got {len(pdu.data)}",
-                )
-            task.body.append(pdu.data)
-            if task.body.length < task.length:
-                self._send_r2t(task)
-                return
-        self._submit(task)
+            self._begin_write(task, task.body, pdu.data)
+        else:
+            self._submit(task)
+
+    def _begin_write(self, task: Task, body: Body, immediate_data: bytes) -> None:
+        """Take the data that came with a write, and ask for the rest."""
+        if immediate_data and not self._limits.immediate_data:
+            raise self._data_error(task, "immediate data, but ImmediateData=No was negotiated")
+        if len(immediate_data) > min(task.length, self._limits.first_burst):
+            raise self._data_error(
+                task,
+                f"immediate data: expected at most {self._limits.first_burst} bytes, or"
+                f" {task.length} of the command, got {len(immediate_data)}",
+            )
+        body.append(immediate_data)
+        if body.length < task.length:
+            self._send_r2t(task)
+        else:
+            self._submit(task)
 
     def _data_error(self, task: Task, text: str) -> BadPdu:
         """End a task with its status; return the error that rejects the PDU."""
