Let the soak's judge tell an attempt that was given up from one that is second

A fault of the judge.

Change: an attempt that was read late and whose connection has ended counts as given up if the kernel received it before the other one arrived; all else is reported as before. So an overlap of two attempts is missed only if the first was accepted late and had ended when it was read.

--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -90,15 +90,22 @@
     The kernel measures it (tcp(7), ``TCP_INFO``); 0 if it is not available, negligible or implausible.  Bytes
     wait while a connection is not accepted yet, or while this process is suspended.
     """
+    if not clock.matches_kernel_clock:
+        return 0
+    waited_ms = received_ago_ms(link)
+    return waited_ms * 1000 if MIN_KERNEL_WAIT_MS <= waited_ms <= MAX_KERNEL_WAIT_MS else 0
+
+
+def received_ago_ms(link: Any) -> int:
+    """How long ago the kernel received the latest bytes of a connection, in milliseconds; 0 if not known."""
     connection = getattr(link, "socket", None)
-    if not clock.matches_kernel_clock or not isinstance(connection, socket.socket):
+    if not isinstance(connection, socket.socket):
         return 0  # the rehearsal's reactor in memory: no real socket
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
     except OSError:
         return 0
-    waited_ms: int = _TCP_INFO.unpack(info)[0] if len(info) == _TCP_INFO.size else 0
-    return waited_ms * 1000 if MIN_KERNEL_WAIT_MS <= waited_ms <= MAX_KERNEL_WAIT_MS else 0
+    return int(_TCP_INFO.unpack(info)[0]) if len(info) == _TCP_INFO.size else 0
 
 
 def _poll_events(link: Any) -> int:
--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import Any
 
-from ...net import hung_up
+from ...net import hung_up, received_ago_ms
 from . import plan
 from .plan import RequestClass
 
@@ -252,21 +252,34 @@
         if request is None:
             self.report(Rule.UNKNOWN_REQUEST, "", f"{name} at {node}")
             return None
+        self._check_concurrent(request, connection, unread_s)
         self._check_attempt(request, now, timeout_ms, unread_s)
         request.arrivals.append(Arrival(now, node, connection))
         self.counts["attempts"] += 1
         return request
 
+    def _check_concurrent(self, request: SentRequest, connection: Any, unread_s: float) -> None:
+        """Report an attempt that arrives while another one is out.
+
+        One that was read late, as its connection was not accepted, may have come before that other one: then
+        it was given up first if its connection has ended by now.
+        """
+        received_at = self.now() - received_ago_ms(connection.link) / 1000
+        was_given_up = unread_s > 0 and hung_up(connection.link)
+        pending = [
+            arrival
+            for arrival in request.arrivals
+            if not (arrival.ended or hung_up(arrival.connection.link))
+            and not (was_given_up and received_at < arrival.at)
+        ]
+        if any(arrival.connection.link.connected for arrival in pending):
+            self.report(Rule.TWO_OUT, request.gateway, request.name)
+
     def _check_attempt(self, request: SentRequest, now: float, timeout_ms: int, unread_s: float) -> None:
         gateway, earlier = request.gateway, request.arrivals
         paused_s = self.exemptions.paused_time_s(gateway, request.at, now) + unread_s
         if len(earlier) >= plan.MAX_ATTEMPTS:
             self.report(Rule.TOO_MANY_ATTEMPTS, gateway, f"{request.name}: {len(earlier) + 1}")
-        pending = [
-            arrival for arrival in earlier if not arrival.ended and not hung_up(arrival.connection.link)
-        ]
-        if any(arrival.connection.link.connected for arrival in pending):
-            self.report(Rule.TWO_OUT, gateway, request.name)
         possibly_run = [arrival for arrival in earlier if arrival.may_have_run]
         if possibly_run and request.request_class.effect == "fragile":
             self.report(
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import json
+import socket
 import subprocess
 import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -168,6 +173,39 @@
     assert stalled.judge.exemptions.stalls == 1
 
 
+@contextmanager
+def accepted_connection() -> Iterator[tuple[Any, socket.socket]]:
+    """A node's connection that has received something, as a transport, and the gateway's end of it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    with ours, theirs:
+        theirs.sendall(b"attempt")
+        yield SimpleNamespace(link=SimpleNamespace(socket=ours, connected=True)), theirs
+
+
+@pytest.mark.parametrize(("is_first", "unread_s", "given_up", "broken"), [
+    (True, 0.3, True, []), (True, 0.3, False, [Rule.TWO_OUT]), (True, 0.0, True, [Rule.TWO_OUT]),
+    (False, 0.3, True, [Rule.TWO_OUT]),
+])  # fmt: skip
+def test_an_attempt_that_was_given_up_may_be_read_after_the_next_one(
+    is_first: bool, unread_s: float, given_up: bool, broken: list[Rule]
+) -> None:
+    """A node that accepts late reads the attempts of a request in any order."""
+    harness = Harness()
+    harness.send()
+    with accepted_connection() as (late, gateway_end):
+        time.sleep(0.1)
+        harness.now += 0.05 if is_first else -0.2
+        harness.arrives()
+        harness.now += 0.01 if is_first else 0.3
+        if given_up:
+            gateway_end.shutdown(socket.SHUT_WR)
+            time.sleep(0.01)
+        harness.judge.attempt_arrived("r", "n", late, 100, unread_s)
+    assert harness.rules == broken
+
+
 def test_concurrent_attempts_too_many_and_after_the_client_left_are_violations() -> None:
     concurrent, many, left = Harness(), Harness(), Harness()
     concurrent.send()
