--- a/gaugesail/http/client_input.py
+++ b/gaugesail/http/client_input.py
@@ -32,9 +32,9 @@
         arrived_us = now_us - kernel_wait_us(link, self._owner.clock)
         if self.parser.between_messages:
             self.since_us = now_us
-            self.steps.begin(now_us)
+            self.steps.begin(now_us, len(data))
         else:
-            self.steps.advance(now_us)
+            self.steps.advance(now_us, len(data))
         self.parser.feed(data)
         self._arrivals.record(self.parser.bytes_fed, self.parser.bytes_read, arrived_us)
 
--- a/gaugesail/http/staged_upload.py
+++ b/gaugesail/http/staged_upload.py
@@ -110,7 +110,7 @@
         """Write the next bytes of the body; without chunks the last byte received is held back."""
         if self._state is not UploadState.RECEIVING or not data:
             return
-        self._steps.advance(self._clock.now_us())
+        self._steps.advance(self._clock.now_us(), len(data))
         if self._connection is None:
             self._forwarded.body.append(data)
         elif self._source.length is None:
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -191,9 +191,9 @@
             return
         self.last_received_us = self._front.clock.now_us()
         if any(task.r2t_end for task in self._tasks.values()):
-            self._input_steps.advance(self.last_received_us)
+            self._input_steps.advance(self.last_received_us, len(data))
         else:
-            self._input_steps.begin(self.last_received_us)
+            self._input_steps.begin(self.last_received_us, len(data))
         self._reader.feed(data)
         work = len(data) // BYTES_PER_WORK
         try:
