--- a/gaugesail/core/attempts.py
+++ b/gaugesail/core/attempts.py
@@ -33,6 +33,11 @@
 NEVER_RUN = (AttemptResult.NOT_STARTED, AttemptResult.REJECTED, AttemptResult.NO_CONNECTION)
 # Of an answer that was passed on as it came, by the result of its attempt; NOT_STARTED: it was handed over.
 ANSWER_ENDINGS = {AttemptResult.SERVED: AnswerEnding.WHOLE, AttemptResult.NOT_STARTED: AnswerEnding.MOVED}
+STREAM_COUNTERS = {
+    AnswerEnding.WHOLE: "streamed",
+    AnswerEnding.MOVED: "stream_moved",
+    AnswerEnding.BROKEN: "stream_broken",
+}
 ANSWER_MARGIN_US = 4_000  # between the latest answer and the client's timeout
 
 
@@ -283,11 +288,9 @@
         if result is AttemptResult.CANCELLED:
             self.ids.abandon(attempt.client_request_id)  # its client left before the end of the answer
         self.ids.release(attempt.client_request_id)
-        # NOT_STARTED: another process of this gateway continues the stream.
-        counters = {AttemptResult.SERVED: "streamed", AttemptResult.NOT_STARTED: "stream_moved"}
-        self.activity.counts[counters.get(result, "stream_broken")] += 1
+        ending = ANSWER_ENDINGS.get(result, AnswerEnding.BROKEN)
+        self.activity.counts[STREAM_COUNTERS[ending]] += 1
         if attempt.ordered_key:
-            ending = ANSWER_ENDINGS.get(result, AnswerEnding.BROKEN)
             self.policy.add(AnswerEnded(attempt.request_id, attempt.number, ending))
 
     def _report(
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -171,8 +171,7 @@
     def stalled_at_us(self) -> int:
         """When the client counts as stalled if it neither sends nor reads anything until then."""
         if self.output.full:
-            self.output.sample(self.link)
-            return self.output.stalled_at_us
+            return self.output.stalled_at_us(self.link)
         if self.input.stopped:
             return self.owner.clock.now_us()  # it waits for us
         return self.input.steps.stalled_at_us
--- a/gaugesail/http/staged_upload.py
+++ b/gaugesail/http/staged_upload.py
@@ -77,11 +77,6 @@
         """When its client counts as stalled if it sends nothing until then."""
         return self._clock.now_us() if self._paused else self._steps.stalled_at_us
 
-    @property
-    def is_new_work(self) -> bool:
-        """Whether its node cannot work on it yet."""
-        return self.receiving
-
     def evict(self) -> None:
         """Reject the request, as others need its connection."""
         self._source.stop()
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -29,6 +29,7 @@
 from .aborted_writes import SeveralAborts
 from .operator import StorageNode
 from .pdu import (
+    ABORT_TASK,
     FINAL,
     MAX_DATA_SEGMENT_BYTES,
     NO_TAG,
@@ -39,6 +40,7 @@
     Pdu,
     PduReader,
     Status,
+    TaskResponse,
     block_cdb,
     fields,
     lun_bytes,
@@ -47,7 +49,6 @@
 )
 from .task import Transfer
 
-TASK_ABORTED, NO_SUCH_TASK = 0, 1  # responses to an ABORT TASK, RFC 7143 section 11.6.1
 ABORT_TIMEOUT_US = 1_000_000  # a session without a response to an ABORT TASK is dropped after this time
 HEALTH_CHECK_US = 250_000
 
@@ -141,7 +142,8 @@
         if not self.ready:
             self._logged_in(pdu)
         elif pdu.opcode == Op.TASK_RESPONSE:
-            self._abort_ended(pdu.itt, pdu.byte2 in (TASK_ABORTED, NO_SUCH_TASK))
+            is_known = pdu.byte2 in (TaskResponse.FUNCTION_COMPLETE, TaskResponse.NO_SUCH_TASK)
+            self._abort_ended(pdu.itt, is_known)
         elif pdu.opcode == Op.REJECT:
             self._rejected(pdu)
         elif pdu.opcode == Op.NOP_IN and pdu.itt == NO_TAG:
@@ -269,7 +271,7 @@
         self._aborting[tag] = _PendingAbort(self._pool.clock.now_us(), name)
         words = {20: command.itt, 24: self._cmd_sn, 28: self._exp_stat_sn}
         lun = lun_bytes(command.transfer.lun) if command.transfer is not None else bytes(8)
-        self._write(Op.TASK, FINAL | 1, tag, words, lun=lun, immediate=True)
+        self._write(Op.TASK, FINAL | ABORT_TASK, tag, words, lun=lun, immediate=True)
         self._pool.watch_aborts()
 
     def _abort_ended(self, tag: int, is_known: bool) -> None:
--- a/gaugesail/iscsi/local_commands.py
+++ b/gaugesail/iscsi/local_commands.py
@@ -7,7 +7,7 @@
 
 from .operator import LogicalUnit
 from .pdu import lun_bytes
-from .task import ILLEGAL_REQUEST, INVALID_CDB_FIELD, INVALID_OPCODE, NO_SUCH_UNIT
+from .task import ILLEGAL_REQUEST, INVALID_CDB_FIELD, INVALID_OPCODE, NO_SUCH_UNIT, CheckCondition
 
 # Operation codes (SCSI Primary Commands, SCSI Block Commands).
 TEST_UNIT_READY, INQUIRY, READ_CAPACITY_10, SERVICE_ACTION_IN, REPORT_LUNS = 0x00, 0x12, 0x25, 0x9E, 0xA0
@@ -19,14 +19,6 @@
 MAX_NAME_BYTES = 200  # of a unit, in its identification
 
 
-class CheckCondition(Exception):
-    """A command that ends with status CHECK CONDITION, a sense key and an additional code with qualifier."""
-
-    def __init__(self, key: int, code: tuple[int, int]) -> None:
-        super().__init__(f"sense key {key:#x}, code {code[0]:#x}/{code[1]:#x}")
-        self.key, self.code = key, code
-
-
 @dataclass(slots=True, frozen=True)
 class Units:
     """The logical units of a target."""
--- a/gaugesail/iscsi/pdu.py
+++ b/gaugesail/iscsi/pdu.py
@@ -45,6 +45,9 @@
     BAD_FIELD = 0x09
 
 
+ABORT_TASK = 1  # a task management function, RFC 7143 section 11.5.1
+
+
 class Status(IntEnum):
     """SCSI status codes."""
 
@@ -54,6 +57,15 @@
     TASK_SET_FULL = 0x28
 
 
+class TaskResponse(IntEnum):
+    """Responses to task management functions, RFC 7143 section 11.6.1."""
+
+    FUNCTION_COMPLETE = 0
+    NO_SUCH_TASK = 1
+    NOT_SUPPORTED = 5
+    FUNCTION_REJECTED = 255
+
+
 class BadPdu(Exception):
     """A PDU that cannot be framed or violates the protocol.
 
--- a/gaugesail/iscsi/read_write.py
+++ b/gaugesail/iscsi/read_write.py
@@ -4,10 +4,9 @@
 
 import struct
 
-from .local_commands import CheckCondition
 from .operator import LogicalUnit
 from .pdu import Pdu
-from .task import ILLEGAL_REQUEST, INVALID_CDB_FIELD, LBA_OUT_OF_RANGE, NO_SUCH_UNIT, Task
+from .task import ILLEGAL_REQUEST, INVALID_CDB_FIELD, LBA_OUT_OF_RANGE, NO_SUCH_UNIT, CheckCondition, Task
 
 # Operation codes (SCSI Block Commands).
 READ_10, READ_16, WRITE_10, WRITE_16 = 0x28, 0x88, 0x2A, 0x8A
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -17,9 +17,10 @@
 from ..read_turns import BYTES_PER_WORK, REQUEST_WORK, Credit
 from ..unread_output import UnreadOutput
 from .aborted_writes import SeveralAborts
-from .local_commands import CheckCondition, Units, parameter_data
+from .local_commands import Units, parameter_data
 from .operator import LogicalUnit
 from .pdu import (
+    ABORT_TASK,
     FINAL,
     NO_TAG,
     SERIAL_MODULUS,
@@ -30,6 +31,7 @@
     PduReader,
     Reason,
     Status,
+    TaskResponse,
     fields,
     lun_number,
     negotiate,
@@ -45,6 +47,7 @@
     DATA_PHASE_ERROR,
     HARDWARE_ERROR,
     INTERNAL_TARGET_FAILURE,
+    CheckCondition,
     Task,
     Transfer,
 )
@@ -53,9 +56,6 @@
     from .target_server import TargetFront
 
 COMMAND_WINDOW = 32  # commands that a session may have in flight
-ABORT_TASK = 1  # the task management function
-# Responses to task management functions, RFC 7143 section 11.6.1.
-FUNCTION_COMPLETE, NO_SUCH_TASK, FUNCTION_NOT_SUPPORTED, FUNCTION_REJECTED = 0, 1, 5, 255
 CLEANUP_FAILED = 3  # response to a logout, RFC 7143 section 11.15.1
 LOGIN_TIMEOUT_US = 2_500_000  # for a login, and for the reception of one PDU
 LOGIN_DELAY_US = 250_000  # after which a session without a login may be closed in favour of another
@@ -164,8 +164,7 @@
     def stalled_at_us(self) -> int:
         """When the client counts as stalled if it neither sends nor reads anything until then."""
         if self._output.full:
-            self._output.sample(self.link)
-            return self._output.stalled_at_us
+            return self._output.stalled_at_us(self.link)
         if self._waits_for_turn:
             return self._front.clock.now_us()
         return self._input_steps.stalled_at_us
@@ -173,7 +172,12 @@
     @property
     def is_new_work(self) -> bool:
         """Whether only writes hold memory whose data is still coming."""
-        return not self._output.full and any(task.r2t_end for task in self._tasks.values())
+        return not self._output.full and self._awaits_data
+
+    @property
+    def _awaits_data(self) -> bool:
+        """Whether data of any write is still coming."""
+        return any(task.r2t_end for task in self._tasks.values())
 
     def evict(self) -> None:
         """Give up what the client holds: answers that it does not read, or writes whose data is coming."""
@@ -190,7 +194,7 @@
         if self._closing or self.lost or self._logs_out:
             return
         self.last_received_us = self._front.clock.now_us()
-        if any(task.r2t_end for task in self._tasks.values()):
+        if self._awaits_data:
             self._input_steps.advance(self.last_received_us, len(data))
         else:
             self._input_steps.begin(self.last_received_us, len(data))
@@ -331,7 +335,7 @@
         The response follows once nothing of the task can run any more.  Other functions are not supported.
         """
         if pdu.flags & 0x7F != ABORT_TASK:
-            self._send(Op.TASK_RESPONSE, FINAL, pdu.itt, byte2=FUNCTION_NOT_SUPPORTED)
+            self._send(Op.TASK_RESPONSE, FINAL, pdu.itt, byte2=TaskResponse.NOT_SUPPORTED)
             return
         tag = pdu.word(20)
         task = self._tasks.get(tag)
@@ -341,7 +345,7 @@
         elif tag in self._aborts:
             self._aborts[tag].append(pdu.itt)
         else:
-            self._send(Op.TASK_RESPONSE, FINAL, pdu.itt, byte2=NO_SUCH_TASK)
+            self._send(Op.TASK_RESPONSE, FINAL, pdu.itt, byte2=TaskResponse.NO_SUCH_TASK)
 
     def _task_aborted(self, tag: int, waiting_tags: list[int], is_known: bool) -> None:
         """Respond to the ABORT TASKs of one task."""
@@ -349,7 +353,7 @@
             del self._aborts[tag]
         for itt in waiting_tags:
             if not (self._closing or self.lost):
-                response = FUNCTION_COMPLETE if is_known else FUNCTION_REJECTED
+                response = TaskResponse.FUNCTION_COMPLETE if is_known else TaskResponse.FUNCTION_REJECTED
                 self._send(Op.TASK_RESPONSE, FINAL, itt, byte2=response)
 
     # ---- commands ----
@@ -366,27 +370,17 @@
             if cdb[0] in READS_AND_WRITES:
                 self._read_or_write(task, unit, pdu)
             else:
-                self._answer_locally(task, unit, cdb)
+                operator = self._front.operator
+                data = parameter_data(cdb, unit, Units(operator.target, operator.units))
+                self.end(task, Status.GOOD, data)
+        except CheckCondition as condition:
+            self.check_condition(task, condition.key, condition.code)
         except PoolEmpty:
             self._front.engine.counts["no_buffers"] += 1
             self.end(task, Status.TASK_SET_FULL)
 
-    def _answer_locally(self, task: Task, unit: LogicalUnit | None, cdb: bytes) -> None:
-        """Answer a command that needs no node."""
-        operator = self._front.operator
-        try:
-            data = parameter_data(cdb, unit, Units(operator.target, operator.units))
-        except CheckCondition as condition:
-            self.check_condition(task, condition.key, condition.code)
-        else:
-            self.end(task, Status.GOOD, data)
-
     def _read_or_write(self, task: Task, unit: LogicalUnit | None, pdu: Pdu) -> None:
-        try:
-            read_transfer(task, unit, pdu)
-        except CheckCondition as condition:
-            self.check_condition(task, condition.key, condition.code)
-            return
+        read_transfer(task, unit, pdu)
         if not task.length:
             self.end(task, Status.GOOD)
             return
--- a/gaugesail/iscsi/task.py
+++ b/gaugesail/iscsi/task.py
@@ -16,6 +16,14 @@
 COMMUNICATION_TIMEOUT, INTERNAL_TARGET_FAILURE, DATA_PHASE_ERROR = (0x08, 0x01), (0x44, 0), (0x4B, 0)
 
 
+class CheckCondition(Exception):
+    """A command that ends with status CHECK CONDITION, a sense key and an additional code with qualifier."""
+
+    def __init__(self, key: int, code: tuple[int, int]) -> None:
+        super().__init__(f"sense key {key:#x}, code {code[0]:#x}/{code[1]:#x}")
+        self.key, self.code = key, code
+
+
 @dataclass(slots=True)
 class Transfer:
     """A read or write of blocks: the payload of its request."""
--- a/gaugesail/memory_holders.py
+++ b/gaugesail/memory_holders.py
@@ -16,27 +16,31 @@
 FREED_SHARE = 1 / 16  # of what may be lent, at once
 
 
-class Holder(Protocol):
+class Stallable(Protocol):
     """A client that holds buffers, a place or a connection to a node while it sends or reads."""
 
     def stalled_at_us(self) -> int:
         """When it counts as stalled if it neither sends nor reads a byte until then; see ``PeerProgress``."""
         ...
 
+    def evict(self) -> None:
+        """Give up what the client holds, with its answer where one is possible."""
+        ...
+
+
+class Holder(Stallable, Protocol):
+    """A client that holds buffers."""
+
     @property
     def is_new_work(self) -> bool:
         """Whether it holds what no node works on yet, and no answer."""
         ...
 
-    def evict(self) -> None:
-        """Give up what the client holds, with its answer where one is possible."""
-        ...
 
+_Stallable = TypeVar("_Stallable", bound=Stallable)
 
-_Holder = TypeVar("_Holder", bound=Holder)
 
-
-def stalled_longest_first(holders: Iterable[_Holder], now_us: int) -> list[_Holder]:
+def stalled_longest_first(holders: Iterable[_Stallable], now_us: int) -> list[_Stallable]:
     """Return those that have stalled, the ones stalled for longest first."""
     at_us = {holder: holder.stalled_at_us() for holder in holders}
     return sorted((holder for holder in at_us if at_us[holder] < now_us), key=at_us.__getitem__)
@@ -75,27 +79,29 @@
 
     def make_room(self) -> bool:
         """Evict the clients stalled for longest until FREED_SHARE is free; returns whether any was."""
-        if self._making_room:
-            return False
-        self._making_room = True
-        try:
-            return self._evict_stalled()
-        finally:
-            self._making_room = False
+        return self._free_by(self._evict_stalled)
 
     def refuse_new_work(self) -> bool:
         """Refuse requests that wait or arrive, latest first, until memory is free; returns whether any is."""
+        return self._free_by(self._refuse_latest)
+
+    def _free_by(self, refuse: Callable[[], None]) -> bool:
+        """Return whether ``refuse`` frees memory; it is not called while it, or another one, is at work."""
         if self._making_room:
             return False
-        self._making_room = True
         out_before = self._pool.out
+        self._making_room = True
         try:
-            while self._pool.out >= out_before and (self._refuse_waiting() or self._evict_latest_arriving()):
-                pass
+            refuse()
         finally:
             self._making_room = False
         return self._pool.out < out_before
 
+    def _refuse_latest(self) -> None:
+        out_before = self._pool.out
+        while self._pool.out >= out_before and (self._refuse_waiting() or self._evict_latest_arriving()):
+            pass
+
     def _evict_latest_arriving(self) -> bool:
         arriving = (holder for holder in reversed(self._holders) if holder.is_new_work)
         latest = next(arriving, None)
@@ -108,12 +114,10 @@
         self._evicted()
         holder.evict()
 
-    def _evict_stalled(self) -> bool:
+    def _evict_stalled(self) -> None:
         stalled = stalled_longest_first(self._holders, self._clock.now_us())
         enough = int(self._pool.large_body_limit * (1 - FREED_SHARE))
-        out_before = self._pool.out
         for holder in stalled:
             if self._pool.out <= enough:
                 break
             self._evict(holder)
-        return self._pool.out < out_before
--- a/gaugesail/peer_progress.py
+++ b/gaugesail/peer_progress.py
@@ -40,9 +40,8 @@
     @property
     def allowed_rest_us(self) -> int:
         """How long the peer may rest before it counts as stalled."""
-        step_bytes = min(self._step_bytes, LARGEST_STEP_BYTES)
-        step_us = step_bytes * 1_000_000 // SLOWEST_BYTES_PER_S + SAMPLING_US
-        return max(step_us, min(LONGEST_REST_US, REST_FACTOR * self._longest_rest_us))
+        step_us = self._step_bytes * 1_000_000 // SLOWEST_BYTES_PER_S + SAMPLING_US
+        return max(min(LONGEST_STEP_US, step_us), min(LONGEST_REST_US, REST_FACTOR * self._longest_rest_us))
 
     @property
     def stalled_at_us(self) -> int:
--- a/gaugesail/policy/ordered_keys.py
+++ b/gaugesail/policy/ordered_keys.py
@@ -188,9 +188,7 @@
     def _end_moved_answers(self, paused_until: int) -> None:
         """Pause the keys of answers that were handed to a process that has not claimed them."""
         for ordered_key in self._keys.values():
-            if ordered_key.has_moved_answer:
-                ordered_key.has_moved_answer = False
-                ordered_key.in_flight -= 1
+            if ordered_key.release_moved_answer():
                 self._pause(ordered_key, paused_until)
 
     def _pause(self, ordered_key: OrderedKey, paused_until: int) -> None:
@@ -205,9 +203,7 @@
         claim = SiblingClaim(event.claim_id, ordered_key, event.received_us, event.is_held)
         self._claims[event.claim_id] = claim
         if event.is_held:
-            if ordered_key.has_moved_answer:
-                ordered_key.has_moved_answer = False
-                ordered_key.in_flight -= 1
+            ordered_key.release_moved_answer()
             ordered_key.pending.insert(0, claim)
             return
         self._waiting_claims += 1
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -80,6 +80,14 @@
     pause_exempt: PendingRequest | AdoptedAnswer | None = None  # the request of that attempt
     granted: PendingRequest | AdoptedAnswer | None = None  # to which the sibling process has granted the key
 
+    def release_moved_answer(self) -> bool:
+        """End this process's hold for an answer that has moved; returns whether there was one."""
+        if not self.has_moved_answer:
+            return False
+        self.has_moved_answer = False
+        self.in_flight -= 1
+        return True
+
     def insert(self, item: PendingRequest | SiblingClaim) -> None:
         """Add a request or claim by its time of receipt, but not before a granted claim."""
         position = len(self.pending)
--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -264,13 +264,13 @@
         One that was read late, as its connection was not accepted, may have come before that other one: then
         it was given up first if its connection has ended by now.
         """
-        received_at = self.now() - received_ago_ms(connection.link) / 1000
-        was_given_up = unread_s > 0 and hung_up(connection.link)
+        came_at = self.now()
+        if unread_s > 0 and hung_up(connection.link):
+            came_at = self.now() - received_ago_ms(connection.link) / 1000
         pending = [
             arrival
             for arrival in request.arrivals
-            if not (arrival.ended or hung_up(arrival.connection.link))
-            and not (was_given_up and received_at < arrival.at)
+            if not (arrival.ended or hung_up(arrival.connection.link)) and came_at >= arrival.at
         ]
         if any(arrival.connection.link.connected for arrival in pending):
             self.report(Rule.TWO_OUT, request.gateway, request.name)
--- a/gaugesail/unread_output.py
+++ b/gaugesail/unread_output.py
@@ -13,9 +13,8 @@
 from .memory_holders import Holder, MemoryHolders
 from .output_progress import OutputProgress
 
-UNCHARGED_READS = (
-    2  # of what is read at once: one fills the transport's buffer, one was read before the pause
-)
+# Of what is read at once: one fills the transport's buffer, one was read before the pause.
+UNCHARGED_READS = 2
 
 
 class UnreadOutput:
@@ -32,18 +31,13 @@
         self._unread_bytes = 0  # written while the output is full, or that filled it
         self.charged = 0  # buffers
 
-    @property
-    def since_us(self) -> int:
-        """When the client has last read anything, as far as that is known, while the output is full."""
-        return self._progress.since_us
-
     def sample(self, link: Any) -> int:
-        """Look whether the client has read since the last call; returns ``since_us``."""
+        """Look whether the client has read since the last call; returns when it has last read anything."""
         return self._progress.sample(link)
 
-    @property
-    def stalled_at_us(self) -> int:
+    def stalled_at_us(self, link: Any) -> int:
         """When the client counts as stalled if it reads nothing until then, while the output is full."""
+        self._progress.sample(link)
         return self._progress.stalled_at_us
 
     def filled(self, link: Any) -> None:
--- a/tests/process/test_answers_across_processes.py
+++ b/tests/process/test_answers_across_processes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import signal
 import socket
 import threading
@@ -12,11 +11,12 @@
 
 import pytest
 
-from ..support.faulty_process import HOST, ListService, ThreadedNode, read_head
-from ..support.gateway_processes import GatewayProcesses, put_request
-from ..support.pressed_gateway import get_request
+from ..support.faulty_process import HOST, ThreadedNode, read_head
+from ..support.gateway_processes import put_request
+from ..support.pressed_gateway import PressedGateway, get_request
 
 NODES = 4
+MEMORY_MB = 192
 SOCKETS = 128  # 57 clients of one process
 ANSWERS, IDLE_CLIENTS = 36, 14
 PIECE_BYTES, PIECES, PIECE_GAP_S = 16_384, 80, 0.06  # 1.3 MB over 4.8 s
@@ -66,13 +66,10 @@
     tmp_path: Path, replacements: int
 ) -> None:
     """Guards against an answer that is closed as a new client would be that has sent nothing."""
-    nodes = [SlowNode(shard) for shard in range(NODES)]
-    discovery = ListService(list(nodes))
-    gateway = GatewayProcesses(tmp_path, discovery, {})
-    config = json.loads((tmp_path / "config").read_text())
-    config["limits"]["sockets"] = SOCKETS
-    (tmp_path / "config").write_text(json.dumps(config))
-    gateway.start_and_await()
+    pressed = PressedGateway(
+        tmp_path, MEMORY_MB, [SlowNode(shard) for shard in range(NODES)], sockets=SOCKETS
+    )
+    gateway = pressed.gateway
     lengths: dict[int, int] = {}
     idle = []
     try:
@@ -94,10 +91,7 @@
         for thread in threads:
             thread.join(12.0)
     finally:
-        gateway.close()
-        discovery.close()
-        for node in nodes:
-            node.close()
+        pressed.close()
         for client in idle:
             client.close()
     assert statuses == [200] * NODES, "the next process has connections to nodes for new requests"
