Send the writes of an item in the order of their arrival after a stop

A request takes effect one pass over the sockets after it was read, but a connection in the accept queue is only accepted by then, and read one pass later, or more behind 64 others.

Change: a request or claim of an ordered key waits while an earlier arrival of its key has just been read, or connections are left in the accept queue (core/arrival_order.py; listening.py tells it, for a bounded time). Classes without order never wait.

--- a/gaugesail/core/policy_runner.py
+++ b/gaugesail/core/policy_runner.py
@@ -5,14 +5,13 @@
 from collections.abc import Callable, Container
 
 from gaugesail.policy.actions import Action, FailRequest
-from gaugesail.policy.events import Event, KeyClaimed, KeyReleased, RequestReceived
+from gaugesail.policy.events import Event, RequestReceived
 from gaugesail.policy.gateway import Gateway
 
 from .activity import Activity
+from .arrival_order import ArrivalOrder, ReadEvent
 from .ports import Clock, DelayedCall
 
-ReadEvent = RequestReceived | KeyClaimed | KeyReleased  # takes effect in the order of its arrival
-
 
 class PolicyRunner:
     """Owns the policy and its pending events; an exception in the policy never leaves this class."""
@@ -26,6 +25,7 @@
         carry_out: Callable[[Action], None],
     ) -> None:
         self.gateway = gateway
+        self.arrival_order = ArrivalOrder()
         self.started = False  # the engine was started with the last known endpoint list
         self._clock = clock
         self._activity = activity
@@ -105,8 +105,8 @@
 
         The reactor reads the sockets between two calls of this method.
         """
-        ready = self._awaiting_read
-        self._awaiting_read = self._received
+        ready, held = self.arrival_order.pass_completed(self._awaiting_read, self._received)
+        self._awaiting_read = held + self._received
         self._received = []
         self._read = self._clock.call_later(0, self._sockets_read) if self._awaiting_read else None
         # Requests that have ended meanwhile never reach the policy.
--- a/gaugesail/listening.py
+++ b/gaugesail/listening.py
@@ -19,6 +19,8 @@
 
 SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 MAX_ACCEPTS = 64  # connections in one iteration of the reactor
+LISTEN_BACKLOG = 512  # connections that the kernel queues
+MAX_FULL_STEPS = LISTEN_BACKLOG // MAX_ACCEPTS  # later ones accept connections that were not queued before
 ACCEPT_RETRY_US = 20_000  # delay of the next accept after a shortage
 # After SIGTERM a predecessor ends, or is killed, within the longest deadline plus 0.7 s; a gateway must be
 # ready within 30 s.
@@ -30,29 +32,40 @@
     """A listening socket whose accept reports a shortage of descriptors as EAGAIN."""
 
     shortage = False  # whether the latest accept failed for one
+    accepted = 0  # connections, ever
 
     def accept(self) -> tuple[socket.socket, Any]:
         self.shortage = False
         try:
-            return super().accept()
+            connection = super().accept()
         except OSError as error:
             if error.errno not in SHORTAGES:
                 raise
             self.shortage = True
             raise BlockingIOError(errno.EAGAIN, "no descriptor is free") from None
+        self.accepted += 1
+        return connection
 
 
 class ListeningPort:
     """Makes a Twisted port accept in bounded steps, and pause when descriptors run out.
 
     ``free_places`` returns how many more connections may be accepted, ``accepting`` whether the port is to
-    accept at all.  A port in memory accepts by itself and has no shortage.
+    accept at all.  ``on_queued`` is called after a step that has left connections queued, but not for longer
+    than the first of them need.  A port in memory accepts by itself and has no shortage.
     """
 
     def __init__(
-        self, port: Any, clock: Clock, free_places: Callable[[], int], accepting: Callable[[], bool]
+        self,
+        port: Any,
+        clock: Clock,
+        free_places: Callable[[], int],
+        accepting: Callable[[], bool],
+        on_queued: Callable[[], None] = lambda: None,
     ) -> None:
         self._port, self._clock, self._free_places, self._accepting = port, clock, free_places, accepting
+        self._on_queued = on_queued
+        self._full_steps = 0  # in a row
         self._resume_call: DelayedCall | None = None
         self._socket: _ShortageAwareSocket | None = None
         if isinstance(getattr(port, "socket", None), socket.socket):
@@ -64,7 +77,12 @@
 
     def _accept_some(self) -> None:
         """Accept as many connections as there are free places, but leave time for those that are open."""
+        accepted_before = self._accepted
         self._accept_at_most(min(MAX_ACCEPTS, self._free_places()))
+        is_full = self._accepted - accepted_before >= MAX_ACCEPTS
+        self._full_steps = self._full_steps + 1 if is_full else 0
+        if 0 < self._full_steps <= MAX_FULL_STEPS:
+            self._on_queued()
 
     def _accept_at_most(self, count: int) -> None:
         assert self._accept is not None
@@ -79,6 +97,10 @@
         if self._accepting() and self._port.connected:
             self._port.startReading()
 
+    @property
+    def _accepted(self) -> int:
+        return self._socket.accepted if self._socket is not None else 0
+
     @property
     def shortage(self) -> bool:
         """Whether connections may be queued in the kernel for want of a descriptor."""
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -23,7 +23,7 @@
 from .http.management import ACCEPTS_PER_ITERATION, ManagementServer
 from .id_coordination import IdCoordination
 from .key_coordination import KeyCoordination
-from .listening import ListeningPort, retry_while_in_use
+from .listening import LISTEN_BACKLOG, ListeningPort, retry_while_in_use
 from .logs import RateLimitedLogger
 from .memory_budget import MEGABYTE, PROGRAM_BYTES, MemoryLimit
 from .operations import Operations
@@ -34,7 +34,6 @@
 LIST_RETRY_US = 20_000  # between checks for a current endpoint list
 SWEEP_INTERVAL_US = 250_000
 SWEEPS_PER_REPORT = 40
-LISTEN_BACKLOG = 512
 
 
 class FleetMember(Protocol):
@@ -164,7 +163,11 @@
         self.front.port = self._port
         front = self.front
         self._listener = ListeningPort(
-            self._port, self.clock, lambda: front.free_places, lambda: front.accepting and not front.held
+            self._port,
+            self.clock,
+            lambda: front.free_places,
+            lambda: front.accepting and not front.held,
+            self.engine.policy.arrival_order.connections_queued,
         )
         self.operations.restore()
         self.engine.start(self.initial_endpoints(takeover.state if takeover is not None else {}))
