Free a request id at the other process only once its answer was read

Cause: an id was told to be free as soon as its answer was written, and that its client had left when its FIN was read: late at a process that stands still or is starved, never at one that ends, as it stops reading. Meanwhile the other process ran the same id again.

Change: a connection holds its latest id; the other process learns that it is free with the next request on that connection, or as the request was refused unrun. An ending process tells once more what may have run.

--- a/gaugesail/core/request_ids.py
+++ b/gaugesail/core/request_ids.py
@@ -2,7 +2,8 @@
 
 An id is in use while its request is open or has an attempt in flight.  If its client leaves and the request
 may have run, the id is remembered for some time.  Two processes of a gateway tell each other the ids that
-they send.
+they send, and free them only once the client is known to have read its answer: until then it may have left,
+which only the process that holds its connection can tell.
 """
 
 from __future__ import annotations
@@ -63,6 +64,8 @@
     def __init__(self, clock: Clock) -> None:
         self._in_use: set[str] = set()
         self._sent: set[str] = set()  # of those in use
+        self._held: set[str] = set()  # whose client is connected and may not have read the answer
+        self._unread: dict[str, None] = {}  # of those, the ones that have run and are no longer in use
         self._abandoned = _ExpiringIds(clock)
         self._of_sibling = _ExpiringIds(clock)
         self.max_remembered = MAX_REMEMBERED
@@ -84,6 +87,17 @@
         """Mark the id of an accepted request as in use."""
         self._in_use.add(request_id)
 
+    def hold(self, request_id: str) -> None:
+        """Keep an id from the sibling process until its client has read the answer, or has left."""
+        self._held.add(request_id)
+
+    def end_hold(self, request_id: str) -> None:
+        """The client has read the answer, or the request has not run; ignored if the client has left."""
+        self._held.discard(request_id)
+        if request_id in self._unread:
+            del self._unread[request_id]
+            self._tell_released(request_id)
+
     def send(self, request_id: str) -> None:
         """Note that an attempt is about to be sent; the sibling process learns it before the node does."""
         self._sent.add(request_id)
@@ -92,6 +106,8 @@
 
     def abandon(self, request_id: str) -> None:
         """Remember an id that may have run, as its client has left."""
+        self._held.discard(request_id)
+        self._unread.pop(request_id, None)
         self._abandoned.add(request_id, self.max_remembered)
         if self.link is not None and request_id not in self._sent:
             self.link.ids_used((request_id,))  # it was released with its answer
@@ -104,10 +120,13 @@
     def release(self, request_id: str) -> None:
         """End the use of an id; it may be used again unless it was abandoned."""
         self._in_use.discard(request_id)
-        if request_id in self._sent:
-            self._sent.discard(request_id)
-            if request_id not in self._abandoned:
-                self._tell_released(request_id)
+        if request_id not in self._sent:
+            return
+        self._sent.discard(request_id)
+        if request_id in self._held:
+            self._unread[request_id] = None
+        elif request_id not in self._abandoned:
+            self._tell_released(request_id)
 
     def _tell_released(self, request_id: str) -> None:
         if self.link is not None:
@@ -116,8 +135,11 @@
     # ---- the sibling process ----
 
     def running(self) -> tuple[str, ...]:
-        """The ids that may be running or have run for clients that left, here or at a sibling process."""
-        return (*self._abandoned.ids(), *self._of_sibling.ids(), *self._sent)
+        """The ids that may be running, or have run for clients that left or may yet leave.
+
+        Those of a sibling process are among them.  The ones that matter least come first.
+        """
+        return (*self._unread, *self._abandoned.ids(), *self._of_sibling.ids(), *self._sent)
 
     def used_by_sibling(self, ids: tuple[str, ...]) -> None:
         """The sibling process may run these ids."""
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -40,7 +40,7 @@
         self._request_id: int | None = None
         self._upload: ClientUpload | None = None  # of a large body
         self.stream: AnswerStream | None = None  # a streamed answer
-        self._answered_id: str | None = None  # of the latest answered request, which may have run
+        self._held_id: str | None = None  # of the latest request: its answer may be unread
         self._keep_alive = True
         self._http_1_0 = False
         self._reading = False
@@ -116,8 +116,9 @@
         self.lost = True
         if self._request_id:
             self.owner.engine.client_disconnected(self._request_id)
-        elif self._answered_id is not None:
-            self.owner.engine.request_ids.abandon(self._answered_id)
+            self.end_hold()
+        elif self._held_id is not None:
+            self.owner.engine.request_ids.abandon(self._held_id)
         self._request_id = None
         if self.stream is not None:
             self.stream.source.stop()
@@ -296,8 +297,11 @@
         received_us = self.input.last_read_us()
         if upload is not None:
             received_us = upload.finish(received_us)
+        self.end_hold()
         self._request_id = 0
         self._request_id = self.owner.engine.submit(request, ClientReply(self), received_us)
+        if self._request_id:
+            self._hold_id(request.client_request_id)
 
     def _answer_health_check(self, head: Head) -> None:
         status, text = (200, b"ok") if self.owner.ready else (503, b"not ready")
@@ -343,7 +347,8 @@
 
         ``close`` forces a close that lingers, so that the client can read the answer.
         """
-        self._note_answered(status)
+        if status in REFUSED:
+            self.end_hold()
         self._release_request()
         if self.lost:
             self._request_id = None
@@ -386,11 +391,16 @@
             self._read()
             self.input.bound(not (self.closing or self.lost))
 
-    def _note_answered(self, status: int) -> None:
-        """Keep the id of an answered request: its client may leave without having read the answer."""
-        request = self._request
-        may_have_run = request is not None and status not in REFUSED
-        self._answered_id = request.client_request_id if request is not None and may_have_run else None
+    def _hold_id(self, client_request_id: str) -> None:
+        """Hold the id of a request: its client may leave without having read the answer."""
+        self._held_id = client_request_id
+        self.owner.engine.request_ids.hold(client_request_id)
+
+    def end_hold(self) -> None:
+        """The answer to the latest request was read, or its client is another process's."""
+        if self._held_id is not None:
+            self.owner.engine.request_ids.end_hold(self._held_id)
+            self._held_id = None
 
     def _release_request(self) -> None:
         request = self._request
@@ -409,7 +419,6 @@
         """Start a streamed answer; the next request is read after its end.  None if the client is lost."""
         if self.lost:
             return None
-        self._note_answered(200)
         self._release_request()
         self.owner.used(self)
         self._keep_alive = self._stays_open()
@@ -449,7 +458,10 @@
             self.link.abortConnection()
 
     def hand_over_stream(self) -> ClientStreamState:
-        """End the stream in this process and return the state from which another process continues it."""
+        """End the stream in this process and return the state from which another process continues it.
+
+        The caller calls ``end_hold`` once it has sent that state.
+        """
         assert self.stream is not None
         state = ClientStreamState(
             self.stream.chunked,
@@ -472,7 +484,7 @@
         """Continue a streamed answer of another process, to the request with this id."""
         self._keep_alive = state.keep_alive
         self._http_1_0 = state.http_1_0
-        self._answered_id = client_request_id
+        self._hold_id(client_request_id)
         self.requests_received = state.requests_received
         self.input.restore(state.parser, state.input_truncated, state.arrivals)
         return self._add_stream(source, state.chunked)
--- a/gaugesail/id_coordination.py
+++ b/gaugesail/id_coordination.py
@@ -31,6 +31,11 @@
         if connection is self._connection:
             self._connection = self.ids.link = None
 
+    def end_process(self) -> None:
+        """Tell the other process a last time what may have run, as it alone remembers that from now on."""
+        if self._connection is not None and not self._connection.backlogged:
+            self._send_all()
+
     def received(self, message: IdMessage) -> None:
         """Handle a message of the other process."""
         if isinstance(message, IdsUsed):
@@ -62,4 +67,4 @@
         running = self.ids.running()
         for start in range(0, len(running), IDS_IN_A_MESSAGE):
             if self._connection is not None:
-                self._connection.send(IdsUsed(running[start : start + IDS_IN_A_MESSAGE]))
+                self._connection.send_now(IdsUsed(running[start : start + IDS_IN_A_MESSAGE]))
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -370,7 +370,7 @@
 
     def close(self) -> None:
         """Close everything, and report the end of the process."""
-        closers = [self.discovery.close, self.transport.close, self._handover.close]
+        closers = [self.discovery.close, self.transport.close, self.ids.end_process, self._handover.close]
         if self.fleet is not None:
             closers.append(self.fleet.close)
         for close in closers:
--- a/tests/core/test_request_ids.py
+++ b/tests/core/test_request_ids.py
@@ -57,6 +57,49 @@
     assert not ids.is_taken("left")
 
 
+def test_the_sibling_process_learns_that_an_id_is_free_once_its_answer_was_read() -> None:
+    """Guards against an id that the sibling process runs again before this one sees that its client left."""
+    _, ids = rig()
+    link, _ = coordinated(ids)
+    for name in ("read", "left"):
+        ids.use(name)
+        ids.hold(name)
+        ids.send(name)
+        ids.release(name)
+    assert link.sent == [IdsUsed(("read",)), IdsUsed(("left",))]
+    assert not ids.is_taken("read")
+    ids.end_hold("read")
+    ids.abandon("left")
+    ids.end_hold("left")
+    assert link.sent[2:] == [IdsReleased(("read",)), IdsUsed(("left",))]
+
+
+def test_a_request_that_has_not_run_is_free_when_its_hold_ends() -> None:
+    _, ids = rig()
+    link, _ = coordinated(ids)
+    ids.use("refused")
+    ids.hold("refused")
+    ids.release("refused")
+    ids.end_hold("refused")
+    assert link.sent == [] and ids.running() == ()
+
+
+def test_the_sibling_process_learns_at_the_end_which_answers_may_be_unread() -> None:
+    """Guards against answers that are written last: only this process could see that their clients leave."""
+    _, ids = rig()
+    ids.use("idle")
+    ids.hold("idle")
+    ids.send("idle")
+    ids.release("idle")
+    link, coordination = coordinated(ids)
+    assert link.sent == [IdsUsed(("idle",))]
+    coordination.end_process()
+    assert link.sent == [IdsUsed(("idle",)), IdsUsed(("idle",))]
+    link.backlogged = True
+    coordination.end_process()
+    assert len(link.sent) == 2
+
+
 def test_remembered_ids_are_bounded_and_the_oldest_go_first() -> None:
     _, ids = rig()
     ids.max_remembered = 10
--- a/tests/process/test_repeated_ids.py
+++ b/tests/process/test_repeated_ids.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import time
 from pathlib import Path
@@ -90,6 +91,53 @@
         upgrade.pressed.close()
 
 
+def test_an_id_whose_client_leaves_a_process_that_stands_still_does_not_run_again(tmp_path: Path) -> None:
+    """Guards against freeing an id at the other process before its client is known to have its answer."""
+    upgrade = Upgrade(tmp_path)
+    try:
+        client = upgrade.connect()
+        upgrade.replace()
+        client.sendall(put_request("left", 1, 0, TIMEOUT_S))
+        time.sleep(WORK_S + 0.2)
+        upgrade.processes.started[0].send_signal(signal.SIGSTOP)
+        client.close()
+        assert (upgrade.repeat("left"), upgrade.ids("left")) == (409, 1)
+    finally:
+        upgrade.pressed.close()
+
+
+def test_an_id_whose_answer_is_unread_as_its_process_ends_does_not_run_again(tmp_path: Path) -> None:
+    """Guards against an end whose last answers are taken for read."""
+    upgrade = Upgrade(tmp_path)
+    try:
+        client = upgrade.connect()
+        upgrade.replace()
+        client.sendall(put_request("left", 1, 0, TIMEOUT_S))
+        time.sleep(WORK_S + 0.2)
+        old = upgrade.processes.started[0]
+        old.send_signal(signal.SIGTERM)
+        assert wait_until(lambda: old.poll() is not None, 2 * TIMEOUT_S)
+        client.close()
+        assert (upgrade.repeat("left"), upgrade.ids("left")) == (409, 1)
+    finally:
+        upgrade.pressed.close()
+
+
+def test_an_id_whose_answer_was_read_may_be_used_again_at_the_other_process(tmp_path: Path) -> None:
+    """Guards against ids that are still kept after the next request on their connection."""
+    upgrade = Upgrade(tmp_path)
+    try:
+        at_old = upgrade.connect()
+        upgrade.replace()
+        at_new = upgrade.connect()
+        for client, name in ((at_new, "first"), (at_new, "second"), (at_old, "first")):
+            client.settimeout(2 * TIMEOUT_S)
+            client.sendall(put_request(name, 1, 0, TIMEOUT_S))
+            assert client.recv(4096).startswith(b"HTTP/1.1 200")
+    finally:
+        upgrade.pressed.close()
+
+
 def test_an_id_that_left_before_the_upgrade_does_not_run_again(tmp_path: Path) -> None:
     """Guards against a successor that does not learn what its predecessor remembers."""
     upgrade = Upgrade(tmp_path)
