Write an answer in the pass over the sockets that it is ready in

Cause: an answer was left to the reactor's next pass.

Change: answers go to the kernel at once, as requests to nodes do, unless the client's connection has unread input, such as its end.

--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -8,7 +8,7 @@
 from ..buffers import Body, PoolEmpty
 from ..client_admission import CloseReason
 from ..core.ports import BodySink, BodySource, ClientRequest
-from ..net import Connection, unread
+from ..net import Connection, send_now, unread
 from ..read_turns import BYTES_PER_WORK, FULL_CREDIT, REQUEST_WORK, Credit
 from ..unread_output import UnreadOutput
 from .answer_heads import CONTINUE, answer_head, stream_head
@@ -356,7 +356,7 @@
         self.owner.used(self)
         keep_alive = self._stays_open() and not close
         self.unsent_bytes = len(body)
-        self.link.write(answer_head(status, len(body), retry_after_us, keep_alive) + body)
+        send_now(self.link, answer_head(status, len(body), retry_after_us, keep_alive) + body)
         if not self._answered_early:
             self._answer_written(keep_alive, close)
 
