Write the second front's responses in the pass that they are ready in

Change: PDUs of the target go to the kernel at once, unless the initiator's connection has unread input.

--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -11,7 +11,7 @@
 from ..buffers import Body, PoolEmpty
 from ..core.ports import ClientRequest
 from ..memory_budget import REQUEST_RECORD_BYTES
-from ..net import Connection, unread
+from ..net import Connection, send_now, unread
 from ..output_progress import UNREAD_US
 from ..peer_progress import PeerProgress
 from ..read_turns import BYTES_PER_WORK, REQUEST_WORK, Credit
@@ -583,7 +583,7 @@
         if advances_stat_sn:
             self._stat_sn = (self._stat_sn + 1) % SERIAL_MODULUS
         pdu = Pdu(opcode, flags, itt, byte2, byte3, lun, fields(serials | (words or {})), data)
-        self.link.write(pdu.encode())
+        send_now(self.link, pdu.encode())
 
     def _reject(self, reason: Reason, header: bytes, text: str) -> None:
         self._front.engine.counts["rejected_pdu"] += 1
--- a/tests/iscsi/test_target_and_initiator.py
+++ b/tests/iscsi/test_target_and_initiator.py
@@ -314,3 +314,15 @@
         assert "lba=2" not in rig.received()
         rig.answer_held()
         assert rig.until(lambda: not rig.head.buffers.out)
+
+
+def test_a_response_leaves_in_the_pass_that_reads_it_from_its_node() -> None:
+    """Guards against a response in time that is written one pass later, after its initiator's time."""
+    with rigged() as rig:
+        client = rig.client()
+        client.send(["read", "tag=1", "lba=1"])
+        assert rig.until(lambda: len(rig.received()) == 1)
+        rig.turn(3)
+        rig.answer_held()
+        rig.turn(2)  # the node writes, and the gateway reads
+        assert unread(link(client))
