Do not send another process's own ids back to it as a process ends

An ending process told its sibling all ids that may be running, and among them those that the sibling had told it itself, for example of an answer that it had taken over: it then refused them for 60 s.

Change: at the end only the ids of the ending process are told.

--- a/gaugesail/core/request_ids.py
+++ b/gaugesail/core/request_ids.py
@@ -137,9 +137,13 @@
     def running(self) -> tuple[str, ...]:
         """The ids that may be running, or have run for clients that left or may yet leave.
 
-        Those of a sibling process are among them.  The ones that matter least come first.
+        Those of a sibling process are among them.
         """
-        return (*self._unread, *self._abandoned.ids(), *self._of_sibling.ids(), *self._sent)
+        return (*self._of_sibling.ids(), *self.running_here())
+
+    def running_here(self) -> tuple[str, ...]:
+        """Those of this process alone; the ones that matter least come first."""
+        return (*self._unread, *self._abandoned.ids(), *self._sent)
 
     def used_by_sibling(self, ids: tuple[str, ...]) -> None:
         """The sibling process may run these ids."""
--- a/gaugesail/id_coordination.py
+++ b/gaugesail/id_coordination.py
@@ -34,7 +34,7 @@
     def end_process(self) -> None:
         """Tell the other process a last time what may have run, as it alone remembers that from now on."""
         if self._connection is not None and not self._connection.backlogged:
-            self._send_all()
+            self._send_used(self.ids.running_here())
 
     def received(self, message: IdMessage) -> None:
         """Handle a message of the other process."""
@@ -64,7 +64,9 @@
 
     def _send_all(self) -> None:
         self._missed = False
-        running = self.ids.running()
-        for start in range(0, len(running), IDS_IN_A_MESSAGE):
+        self._send_used(self.ids.running())
+
+    def _send_used(self, ids: tuple[str, ...]) -> None:
+        for start in range(0, len(ids), IDS_IN_A_MESSAGE):
             if self._connection is not None:
-                self._connection.send_now(IdsUsed(running[start : start + IDS_IN_A_MESSAGE]))
+                self._connection.send_now(IdsUsed(ids[start : start + IDS_IN_A_MESSAGE]))
--- a/tests/core/test_request_ids.py
+++ b/tests/core/test_request_ids.py
@@ -93,6 +93,7 @@
     ids.release("idle")
     link, coordination = coordinated(ids)
     assert link.sent == [IdsUsed(("idle",))]
+    coordination.received(IdsUsed(("own of the sibling",)))
     coordination.end_process()
     assert link.sent == [IdsUsed(("idle",)), IdsUsed(("idle",))]
     link.backlogged = True
