Give a closing client its time by what its kernel has yet to take

An answer of 60 kB no longer fills the write buffer, whose state decided whether a closing connection is ended after 1 s or after 5 s.

Change: unacknowledged bytes decide it, beside a full write buffer; a FIN that is not acknowledged yet does not count.

--- a/gaugesail/http/client_sweep.py
+++ b/gaugesail/http/client_sweep.py
@@ -49,8 +49,10 @@
     if blocked_us > (linger_us if connection.lingering else UNREAD_US):
         connection.owner.engine.counts["unread"] += not connection.lingering
         connection.link.abortConnection()
-    elif connection.closing and blocked_us > (CLOSING_READER_US if connection.output.full else linger_us):
-        connection.link.loseConnection()  # the client has not closed its side
+    elif connection.closing:
+        is_unread = connection.output.is_unread(connection.link)
+        if blocked_us > (CLOSING_READER_US if is_unread else linger_us):
+            connection.link.loseConnection()  # the client has not closed its side
 
 
 def _due_us(connection: ClientConnection) -> int:
--- a/gaugesail/unread_output.py
+++ b/gaugesail/unread_output.py
@@ -11,10 +11,11 @@
 from .buffers import BufferPool
 from .core.ports import Clock
 from .memory_holders import Holder, MemoryHolders
-from .output_progress import OutputProgress
+from .output_progress import OutputProgress, unacknowledged_bytes
 
 # Of what is read at once: one fills the transport's buffer, one was read before the pause.
 UNCHARGED_READS = 2
+FIN_BYTES = 1  # the kernel counts a FIN as one byte until it is acknowledged
 
 
 class UnreadOutput:
@@ -40,6 +41,10 @@
         self._progress.sample(link)
         return self._progress.stalled_at_us
 
+    def is_unread(self, link: Any) -> bool:
+        """Whether the client has yet to take some of what was written."""
+        return self.full or (unacknowledged_bytes(link) or 0) > FIN_BYTES
+
     def filled(self, link: Any) -> None:
         """The transport's write buffer is full."""
         self.full = True
