Move answers that are read slowly to the next process with their unsent output

A streamed answer was handed over only once the write buffer was empty, which the kernel reports when a good part of its own buffer, by then megabytes, is free. At 64 kB a second that takes longer than the 3.65 s until the old process ends and resets it.

Change: what is written but not taken by the kernel moves with the answer, to a next process that says that it takes it (TakesUnsentOutput); an older one is handed the answer as before. Answers move as fast as the link is read. Messages without fields are encoded by one table.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -10,7 +10,7 @@
 from . import config as configuration
 from .core.clock import ReactorClock
 from .core.engine import Engine
-from .core.ports import Clock, Logger, Reactor
+from .core.ports import Clock, DelayedCall, Logger, Reactor
 from .handover_connection import Takeover
 from .http.client_connection import ClientConnection
 from .http.client_server import ClientCapacity, ClientServer
@@ -23,6 +23,7 @@
 from .operations import Operations
 from .service import Service
 
+HANDOVER_RETRY_US = 5_000  # until the next look whether the successor takes more answers
 RELOADABLE_ENTRIES = {  # fields of Config that are applied at run time, or needed only at startup
     "discovery", "known", "seed", "settings", "conn_idle_us", "connect_timeout_us", "zones", "kinds", "raw",
 }  # fmt: skip
@@ -39,6 +40,7 @@
     ) -> None:
         limits = config.limits
         self._latest_settings = config.settings
+        self._handover_retry: DelayedCall | None = None
         clock = clock or ReactorClock(reactor)
         super().__init__(
             reactor,
@@ -119,12 +121,22 @@
             client.link.abortConnection()
 
     def hand_over_answers(self) -> None:
-        """Hand streamed answers over to the successor, each once its client's write buffer is empty."""
+        """Hand streamed answers over to the successor, as fast as it takes them."""
         for client in self.front.streams:
+            successor = self._handover.successor
+            if successor is None:
+                return
+            if successor.backlogged:
+                self._retry_handover()
+                return
             if client.stream is not None:
-                client.stream.start_handover(self._stream_emptied)
+                client.stream.start_handover(self._move_stream, successor.takes_unsent_output)
 
-    def _stream_emptied(self, client: ClientConnection, node: NodeConnection) -> None:
+    def _retry_handover(self) -> None:
+        if self._handover_retry is None or not self._handover_retry.active():
+            self._handover_retry = self.clock.call_later(HANDOVER_RETRY_US, self.hand_over_answers)
+
+    def _move_stream(self, client: ClientConnection, node: NodeConnection) -> None:
         if self._handover.successor is None:
             if client.stream is not None:
                 client.stream.cancel_handover()
@@ -157,6 +169,7 @@
             client.input.release()
             node.stop()
             return
+        stream.write_unsent(client_state.unsent)
         node.stream_to(stream)
 
     def limit(self, processes: int) -> None:
--- a/gaugesail/handover.py
+++ b/gaugesail/handover.py
@@ -34,6 +34,7 @@
     SuccessorServing,
     SuccessorStopping,
     TakeoverOffer,
+    TakesUnsentOutput,
 )
 from .predecessor import PredecessorLink, SuccessorProcess
 from .state import OperatorCall
@@ -266,6 +267,8 @@
         match message:
             case Hello():
                 self._start_coordination(connection)
+            case TakesUnsentOutput():
+                connection.takes_unsent_output = True
             case DescriptorsTaken():
                 connection.confirm(message.count)
             case SuccessorServing():
--- a/gaugesail/handover_connection.py
+++ b/gaugesail/handover_connection.py
@@ -61,6 +61,7 @@
         self.is_successor = is_successor
         self.successor_serves = False  # reported by the successor
         self.coordinates_keys = False  # the other process has sent Hello
+        self.takes_unsent_output = False  # the other process takes a streamed answer's unsent output
         self.backlogged = False  # the other process does not read
         self.received_descriptors: deque[int] = deque()  # not yet claimed by a message
         self.unconfirmed: deque[int] = deque()  # sent descriptors, open until their receipt is confirmed
--- a/gaugesail/handover_messages.py
+++ b/gaugesail/handover_messages.py
@@ -28,6 +28,11 @@
     """
 
 
+@dataclass(slots=True, frozen=True)
+class TakesUnsentOutput:
+    """The successor takes streamed answers with output that was not sent; other versions take none."""
+
+
 @dataclass(slots=True, frozen=True)
 class NoTakeover:
     """The running process is shutting down: it hands nothing over, but both processes coordinate."""
@@ -139,12 +144,22 @@
     | DescriptorsTaken
     | CallMade
     | Hello
+    | TakesUnsentOutput
     | NoTakeover
     | KeyMessage
     | IdMessage
 )
 
 
+KEYS_OF_PLAIN_MESSAGES: dict[HandoverMessage, str] = {  # those without fields
+    SuccessorServing(): "serving",
+    SuccessorStopping(): "successor_stopping",
+    Hello(): "hello",
+    TakesUnsentOutput(): "takes_unsent_output",
+    NoTakeover(): "stopping",
+}
+
+
 def encode(message: HandoverMessage) -> bytes:
     """Encode a message as one line."""
     return json.dumps(_to_json(message)).encode() + b"\n"
@@ -154,10 +169,6 @@
     match message:
         case TakeoverOffer():
             return {"version": message.version, "known": message.state}
-        case SuccessorServing():
-            return {"serving": True}
-        case SuccessorStopping():
-            return {"successor_stopping": True}
         case ClientCount():
             return {"clients": message.clients}
         case AnswerOffer():
@@ -168,12 +179,10 @@
             node_id = message.call.node_id
             name = node_id.decode(errors="replace") if node_id is not None else None
             return {"node": name, "on": message.call.on}
-        case Hello():
-            return {"hello": True}
-        case NoTakeover():
-            return {"stopping": True}
-        case _:
+        case IdsUsed() | IdsReleased() | KeyClaim() | KeyRelease() | KeyGrant() | KeysPaused():
             return _request_message_to_json(message)
+        case _:
+            return {KEYS_OF_PLAIN_MESSAGES[message]: True}
 
 
 def _request_message_to_json(message: KeyMessage | IdMessage) -> dict[str, Any]:
@@ -212,20 +221,15 @@
         return AnswerOffer(data["stream"])
     if "took" in data:
         return DescriptorsTaken(int(data["took"]))
-    if "serving" in data:
-        return SuccessorServing()
-    if "successor_stopping" in data:
-        return SuccessorStopping()
     if "clients" in data:
         return ClientCount(int(data["clients"]))
     if "node" in data:
         name = data["node"]
         node_id = str(name).encode() if name is not None else None
         return CallMade(OperatorCall(node_id, data["on"] is True))
-    if "hello" in data:
-        return Hello()
-    if "stopping" in data:
-        return NoTakeover()
+    for message, key in KEYS_OF_PLAIN_MESSAGES.items():
+        if key in data:
+            return message
     return _id_message_from_json(data) or _key_message_from_json(data)
 
 
--- a/gaugesail/http/answer_stream.py
+++ b/gaugesail/http/answer_stream.py
@@ -6,12 +6,15 @@
 from typing import TYPE_CHECKING, Any
 
 from ..core.ports import BodySource
-from ..net import DrainNotifier
+from ..net import DrainNotifier, unsent_output
 
 if TYPE_CHECKING:
     from .client_connection import ClientConnection
 
 
+MAX_MOVED_OUTPUT_BYTES = 512 * 1024  # more is not moved, as a message has a limit
+
+
 class AnswerStream:
     """The sink for the body of one answer whose head is written."""
 
@@ -37,22 +40,40 @@
         """End an incomplete answer with a reset, which the client can tell from a complete one."""
         self._connection.stream_failed()
 
-    def start_handover(self, emptied: Callable[[ClientConnection, Any], None]) -> None:
-        """Pause the stream and call ``emptied`` once the write buffer is empty.
+    def write_unsent(self, output: bytes) -> None:
+        """Write what the process before has written of the answer, but not sent."""
+        if not self._connection.lost and output:
+            self._connection.stream_bytes_come(len(output))
+            self._connection.link.write(output)
 
-        Then another process may continue the stream.
+    def start_handover(
+        self, move: Callable[[ClientConnection, Any], None], takes_unsent_output: bool
+    ) -> None:
+        """Pause the stream and call ``move``, after which another process may continue the stream.
+
+        Unless that process ``takes_unsent_output``, ``move`` is called once all output has been sent, which
+        the kernel reports only when a good part of its own buffer is free.
         """
-        if self._handing_over or self._connection.lost:
+        if self._connection.lost:
+            return
+        link = self._connection.link
+        unsent = unsent_output(link) if takes_unsent_output else None
+        can_move = unsent is not None and len(unsent) <= MAX_MOVED_OUTPUT_BYTES
+        if self._handing_over and not can_move:
             return
-        self._handing_over = True
-        self.source.pause()
-        self._connection.link.unregisterProducer()
+        if not self._handing_over:
+            self._handing_over = True
+            self.source.pause()
+            link.unregisterProducer()
 
         def report() -> None:
             if not self._connection.lost and self._connection.stream is not None:
-                emptied(self._connection, self.source)
+                move(self._connection, self.source)
 
-        DrainNotifier(self._connection.link, report)
+        if can_move:
+            report()
+        else:
+            DrainNotifier(link, report)
 
     def cancel_handover(self) -> None:
         """Continue the stream here, as the other process has ended."""
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -8,7 +8,7 @@
 from ..buffers import Body, PoolEmpty
 from ..client_admission import CloseReason
 from ..core.ports import BodySink, BodySource, ClientRequest
-from ..net import Connection, send_now, unread
+from ..net import Connection, send_now, unread, unsent_output
 from ..read_turns import BYTES_PER_WORK, FULL_CREDIT, REQUEST_WORK, Credit
 from ..unread_output import UnreadOutput
 from .answer_heads import CONTINUE, answer_head, stream_head
@@ -471,6 +471,7 @@
             self.input.parser.export_state(),
             self.input.truncated,
             self.input.export_arrivals(),
+            unsent_output(self.link) or b"",
         )
         self.stream = None
         self.lost = True
@@ -480,7 +481,7 @@
 
     def take_over_stream(
         self, state: ClientStreamState, client_request_id: str, source: BodySource
-    ) -> BodySink:
+    ) -> AnswerStream:
         """Continue a streamed answer of another process, to the request with this id."""
         self._keep_alive = state.keep_alive
         self._http_1_0 = state.http_1_0
--- a/gaugesail/http/stream_handover.py
+++ b/gaugesail/http/stream_handover.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import base64
 from dataclasses import dataclass
 from typing import Any
 
@@ -60,12 +61,14 @@
     parser: dict[str, Any]
     input_truncated: bool = False  # input behind the parser's was discarded: the connection ends there
     arrivals: tuple[ArrivalMark, ...] = ()  # of the parser's input
+    unsent: bytes = b""  # of the answer: written, but not yet taken by the kernel
 
     def to_json(self) -> dict[str, Any]:
         """Return the state under the keys that every version reads, and newer ones where they are needed.
 
-        A version that does not know ``truncated`` would take input behind the gap for the rest of the request
-        before it.  So it is told to close the connection after the streamed answer.
+        Only a process that has sent ``TakesUnsentOutput`` is sent ``unsent``.  A version that does not know
+        ``truncated`` would take input behind the gap for the rest of the request before it.  So it is told to
+        close the connection after the streamed answer.
         """
         fields = {
             "chunked": self.chunked,
@@ -76,6 +79,8 @@
         }
         if self.input_truncated:
             fields["truncated"] = {"keep": self.keep_alive}
+        if self.unsent:
+            fields["unsent"] = base64.b64encode(self.unsent).decode()
         if self.arrivals:
             fields["arrivals"] = [[mark.end, mark.arrived_us] for mark in self.arrivals]
         return fields
@@ -93,4 +98,5 @@
             fields["parser"],
             truncated is not None,
             tuple(ArrivalMark(int(end), int(arrived_us)) for end, arrived_us in fields.get("arrivals", ())),
+            base64.b64decode(fields.get("unsent", ""), validate=True),
         )
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -145,6 +145,13 @@
     link.abortConnection()
 
 
+def unsent_output(link: Any) -> bytes | None:
+    """Return what was written to a connection, but has not been taken by the kernel; None if not known."""
+    if not isinstance(getattr(link, "socket", None), socket.socket):
+        return None  # the rehearsal's reactor in memory
+    return bytes(link.dataBuffer[link.offset :]) + b"".join(link._tempDataBuffer)
+
+
 class DrainNotifier:
     """A pull producer that makes one call when all written data has left the transport's buffer."""
 
--- a/gaugesail/predecessor.py
+++ b/gaugesail/predecessor.py
@@ -34,6 +34,7 @@
     SuccessorServing,
     SuccessorStopping,
     TakeoverOffer,
+    TakesUnsentOutput,
 )
 from .id_coordination import IdCoordination
 from .key_coordination import KeyCoordination
@@ -237,6 +238,7 @@
         match message:
             case Hello():
                 connection.coordinates_keys = True
+                connection.send(TakesUnsentOutput())
                 self._owner.keys.ask(connection)
                 self._owner.ids.begin(connection)
             case TakeoverOffer():
