Serve a late second answer of a node to nobody else

Change: connections rest 50 ms until their node has sent 100 answers without surplus bytes, then 5 ms, and long again after surplus bytes, forgiven after a minute and 1,000 answers; resting ones do not count as free, so that another one is dialled. An answer that begins before any byte of its request is acknowledged ends the attempt as reset.

--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -11,6 +11,7 @@
 from ..buffers import Body, PoolEmpty
 from ..core.ports import Attempt, AttemptListener, BodySink, DelayedCall
 from ..net import Connection, abort, send_now
+from ..output_progress import unacknowledged_bytes
 from .messages import MAX_BUFFERED_BODY, BadMessage, Data, Head
 from .node_owner import ConnectionOwner, PushProducer
 from .node_request import NodeRequest
@@ -60,6 +61,7 @@
         self._first_pull = False
         self._head_timer: DelayedCall | None = None  # for an answer whose body is late
         self._interim_answers = 0
+        self._message_bytes = 0  # of the request; 0 if its body was written as it came
         self._first_byte_us = 0  # of the answer
         self._last_byte_us = 0  # of the answer, so far
         self._started_us = 0  # when the latest request started
@@ -83,6 +85,7 @@
     def start(self, request: NodeRequest, message: bytes) -> None:
         """Write a complete request."""
         self._assign(request)
+        self._message_bytes = len(message)
         self._write_end(message)
 
     def start_upload(self, request: NodeRequest, head: bytes, producer: PushProducer) -> None:
@@ -109,6 +112,7 @@
         self._interim_answers = 0
         self._first_byte_us = 0
         self._last_byte_us = 0
+        self._message_bytes = 0
         self._started_us = self._pool.clock.now_us()
         self._idle_before_us = self._started_us - self.idle_since_us
         if request.attempt is not None:
@@ -140,13 +144,19 @@
     def dataReceived(self, data: bytes) -> None:
         """Read the answer; close the connection if none is expected."""
         if self._request is None:
-            self.abort()  # unsolicited bytes
+            self._note_surplus()
+            self.abort()
             return
         if not self.written:
+            self._note_surplus()
             # Bytes received before the request's last byte was written answer something else, even if they
             # are well formed.  The last byte is never written now, so the request has not run.
             self._end_with(AttemptResult.NO_CONNECTION)
             return
+        if not self._first_byte_us and self._has_not_arrived:
+            self._note_surplus()
+            self._end_with(AttemptResult.RESET)
+            return
         self._last_byte_us = self._pool.clock.now_us()
         self._first_byte_us = self._first_byte_us or self._last_byte_us
         if self._request.attempt is not None:
@@ -158,6 +168,21 @@
             self._end_with(AttemptResult.ERROR)
         self._await_late_body()
 
+    @property
+    def _has_not_arrived(self) -> bool:
+        """Whether no byte of the request has reached the node: its kernel would have acknowledged it.
+
+        Bytes that have come by then answer something else.
+        """
+        unacknowledged = unacknowledged_bytes(self.link)
+        return unacknowledged is not None and 0 < self._message_bytes <= unacknowledged
+
+    def _note_surplus(self) -> None:
+        """Note bytes that no request asked for, perhaps a second answer to the one before."""
+        if self._used:
+            now_us = self._pool.clock.now_us()
+            self.node.settle_time.surplus(now_us, now_us - self.idle_since_us)
+
     def _read(self) -> None:
         read_on = True
         while read_on:
@@ -265,7 +290,10 @@
             self._pool.idle_times.record(self._idle_before_us, False)
         self._used = True
         # Bytes after the end of the answer make the connection unusable.
-        if head.keep_alive and self._parser.between_messages and not self.lost:
+        is_clean = self._parser.between_messages
+        if not is_clean:
+            self.node.settle_time.surplus(self._pool.clock.now_us(), 0)
+        if head.keep_alive and is_clean and not self.lost:
             self._pool.connection_freed(self)
         else:
             self.abort()
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -24,11 +24,11 @@
 from .node_connection import NodeConnection
 from .node_request import NodeRequest
 from .node_state import NodeAddress, NodeState
+from .settle_time import SHORT_REST_US
 from .staged_upload import StagedUpload
 from .stream_handover import NodeStreamState
 
 IDLE_SHARE = 0.6  # of the node's idle timeout: a request written as the node closes would be reset
-SETTLE_US = 5_000  # after an answer: surplus bytes must not be taken for the answer to the next request
 MAX_DIALS = 8  # concurrent dials per node
 UPLOAD_DIVISOR = 2  # uploads that are being received may have 1/2 of all connections
 HEALTH_CHECK_US = 250_000  # timeout of a health check
@@ -284,6 +284,8 @@
                 connection.abort()
             elif connection.usable_at_us <= now_us:
                 node.idle.remove(connection)
+                if connection.usable_at_us > connection.idle_since_us:
+                    node.settle_time.rested()
                 return connection
         return None
 
@@ -344,7 +346,9 @@
         if self._closing or dials >= MAX_DIALS or dials >= pending:
             return False
         # One spare connection: a request right after an answer would wait for the connection to settle.
-        return dials + len(node.idle) <= pending
+        soon_us = self.clock.now_us() + SHORT_REST_US
+        usable = sum(connection.usable_at_us <= soon_us for connection in node.idle)
+        return dials + usable <= pending
 
     def _dialled(self, connection: NodeConnection, node: NodeState, dialled: Deferred[Any]) -> None:
         node.dials.discard(dialled)
@@ -381,17 +385,18 @@
     # ---- connections ----
 
     def connection_freed(self, connection: NodeConnection) -> None:
-        """Make a connection idle, or close it if it may not be used again; usable after SETTLE_US."""
+        """Make a connection idle, or close it if it may not be used again; usable after its rest."""
         node = connection.node
         node.busy.discard(connection)
         if connection.generation != node.generation or self._closing or connection.lost:
             connection.abort()
             return
-        self._add_idle(connection, self.clock.now_us(), SETTLE_US)
+        now_us = self.clock.now_us()
+        self._add_idle(connection, now_us, node.settle_time.rest_us(now_us))
 
-    def _add_idle(self, connection: NodeConnection, now_us: int, settle_us: int) -> None:
+    def _add_idle(self, connection: NodeConnection, now_us: int, rest_us: int) -> None:
         connection.idle_since_us = now_us
-        connection.usable_at_us = now_us + settle_us
+        connection.usable_at_us = now_us + rest_us
         connection.node.idle.append(connection)
         self._start_pending(connection.node)
 
--- a/gaugesail/http/node_state.py
+++ b/gaugesail/http/node_state.py
@@ -11,6 +11,7 @@
 from gaugesail.policy.settings import NodeId
 
 from ..core.ports import DelayedCall
+from .settle_time import SettleTime
 
 if TYPE_CHECKING:
     from .node_connection import NodeConnection
@@ -38,6 +39,7 @@
     pending: deque[NodeRequest] = field(default_factory=deque)
     dials: set[Deferred[Any]] = field(default_factory=set)
     wakeup: DelayedCall | None = None  # retries the pending requests once an idle connection is usable
+    settle_time: SettleTime = field(default_factory=SettleTime)
     generation: int = 0  # increases when connections to the old address may no longer be used
 
     @property
