Turn clients away at once that stopped amid a request before it was read

Change: steps count from the kernel's time of arrival, unless the bytes fill a whole read; while others wait for a place, a client that has stalled is turned away as it is read, and its place is free with its answer.

--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -141,6 +141,7 @@
         self.input.feed(data, self.link, self.last_received_us)
         if self._request_id is None:
             self._read()
+            self.owner.request_may_have_stalled(self)
         self.input.bound(not (self.closing or self.lost))
 
     def _discard(self, data: bytes) -> None:
@@ -188,6 +189,8 @@
             self.link.abortConnection()
         elif self.arriving or self.is_costly:
             self.fail_input(503, "no memory or no place left", self.owner.retry_after_us)
+            if self.owner.held and not unread(self.link):
+                self.link.loseConnection()  # its place is needed; nothing that it sent makes this a reset
 
     # ---- requests ----
 
--- a/gaugesail/http/client_input.py
+++ b/gaugesail/http/client_input.py
@@ -30,11 +30,14 @@
     def feed(self, data: bytes, link: Any, now_us: int) -> None:
         """Add input received from a transport at ``now_us``."""
         arrived_us = now_us - kernel_wait_us(link, self._owner.clock)
+        # A client whose bytes fill what is read at once may have waited for this process to read them.
+        could_send_more = len(data) < self._owner.pool.io_bytes
+        step_us = arrived_us if could_send_more else now_us
         if self.parser.between_messages:
             self.since_us = now_us
-            self.steps.begin(now_us, len(data))
+            self.steps.begin(step_us, len(data))
         else:
-            self.steps.advance(now_us, len(data))
+            self.steps.advance(max(self.steps.since_us, step_us), len(data))
         self.parser.feed(data)
         self._arrivals.record(self.parser.bytes_fed, self.parser.bytes_read, arrived_us)
 
--- a/gaugesail/http/client_owner.py
+++ b/gaugesail/http/client_owner.py
@@ -61,6 +61,10 @@
         """Note that a connection has written an answer."""
         ...
 
+    def request_may_have_stalled(self, connection: ClientConnection) -> None:
+        """Look whether the client had stopped amid a request before that part was read."""
+        ...
+
     def log_fault(self, error: Exception) -> None:
         """Count and log a fault of the gateway."""
         ...
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -169,6 +169,12 @@
         if self.closing and not self._open:
             self.on_idle()
 
+    def request_may_have_stalled(self, connection: ClientConnection) -> None:
+        """End a client that had stopped amid a request before it was read, if others wait for its place."""
+        if self.held and connection.arriving and connection.stalled_at_us() < self.clock.now_us():
+            self._count_eviction()
+            connection.evict()
+
     def _count_eviction(self) -> None:
         self.engine.counts["evicted"] += 1
 
