Take the held request id and the choice of an idle connection out of large files

Change: HeldRequestId is the hold of one client connection; NodeState chooses among its own idle connections. Behaviour as it was.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -143,7 +143,7 @@
             return
         state = {"client": client.hand_over_stream().to_json(), "brick": node.hand_over_stream().to_json()}
         self._handover.hand_over_answer([detach(client.link), detach(node.link)], state)
-        client.end_hold()
+        client.held_id.end()
         self.front.closed(client)
 
     def continue_answer(self, descriptors: list[int], state: dict[str, Any]) -> None:
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -19,6 +19,7 @@
 from .client_reply import ClientReply
 from .client_upload import ClientUpload
 from .forwarded_request import origin_form
+from .held_request_id import HeldRequestId
 from .messages import MAX_BUFFERED_BODY, BadMessage, Data, Head
 from .stream_handover import ClientStreamState
 
@@ -40,7 +41,7 @@
         self._request_id: int | None = None
         self._upload: ClientUpload | None = None  # of a large body
         self.stream: AnswerStream | None = None  # a streamed answer
-        self._held_id: str | None = None  # of the latest request: its answer may be unread
+        self.held_id = HeldRequestId(owner.engine.request_ids)
         self._keep_alive = True
         self._http_1_0 = False
         self._reading = False
@@ -116,9 +117,9 @@
         self.lost = True
         if self._request_id:
             self.owner.engine.client_disconnected(self._request_id)
-            self.end_hold()
-        elif self._held_id is not None:
-            self.owner.engine.request_ids.abandon(self._held_id)
+            self.held_id.end()
+        else:
+            self.held_id.client_left()
         self._request_id = None
         if self.stream is not None:
             self.stream.source.stop()
@@ -300,11 +301,11 @@
         received_us = self.input.last_read_us()
         if upload is not None:
             received_us = upload.finish(received_us)
-        self.end_hold()
+        self.held_id.end()
         self._request_id = 0
         self._request_id = self.owner.engine.submit(request, ClientReply(self), received_us)
         if self._request_id:
-            self._hold_id(request.client_request_id)
+            self.held_id.hold(request.client_request_id)
 
     def _answer_health_check(self, head: Head) -> None:
         status, text = (200, b"ok") if self.owner.ready else (503, b"not ready")
@@ -351,7 +352,7 @@
         ``close`` forces a close that lingers, so that the client can read the answer.
         """
         if status in REFUSED:
-            self.end_hold()
+            self.held_id.end()
         self._release_request()
         if self.lost:
             self._request_id = None
@@ -394,17 +395,6 @@
             self._read()
             self.input.bound(not (self.closing or self.lost))
 
-    def _hold_id(self, client_request_id: str) -> None:
-        """Hold the id of a request: its client may leave without having read the answer."""
-        self._held_id = client_request_id
-        self.owner.engine.request_ids.hold(client_request_id)
-
-    def end_hold(self) -> None:
-        """The answer to the latest request was read, or its client is another process's."""
-        if self._held_id is not None:
-            self.owner.engine.request_ids.end_hold(self._held_id)
-            self._held_id = None
-
     def _release_request(self) -> None:
         request = self._request
         self._request = None
@@ -463,7 +453,7 @@
     def hand_over_stream(self) -> ClientStreamState:
         """End the stream in this process and return the state from which another process continues it.
 
-        The caller calls ``end_hold`` once it has sent that state.
+        The caller ends the hold of the request's id once it has sent that state.
         """
         assert self.stream is not None
         state = ClientStreamState(
@@ -488,7 +478,7 @@
         """Continue a streamed answer of another process, to the request with this id."""
         self._keep_alive = state.keep_alive
         self._http_1_0 = state.http_1_0
-        self._hold_id(client_request_id)
+        self.held_id.hold(client_request_id)
         self.requests_received = state.requests_received
         self.input.restore(state.parser, state.input_truncated, state.arrivals)
         return self._add_stream(source, state.chunked)
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -265,7 +265,7 @@
                 node.pending.popleft()
                 self.finish(request, AttemptResult.NOT_STARTED)
                 continue
-            connection = self._pop_idle(node, now_us)
+            connection = node.pop_usable(now_us, min(self._idle_us, self.idle_times.limit_us()))
             if connection is None:
                 break
             node.pending.popleft()
@@ -276,19 +276,6 @@
                 node.wakeup = self.clock.call_later(wait_us, lambda: self._wake(node))
             self._dial(node)
 
-    def _pop_idle(self, node: NodeState, now_us: int) -> NodeConnection | None:
-        """Return the latest used idle connection that is usable; close those that are idle for too long."""
-        limit_us = min(self._idle_us, self.idle_times.limit_us())
-        for connection in reversed(list(node.idle)):
-            if connection.generation != node.generation or now_us - connection.idle_since_us >= limit_us:
-                connection.abort()
-            elif connection.usable_at_us <= now_us:
-                node.idle.remove(connection)
-                if connection.usable_at_us > connection.idle_since_us:
-                    node.settle_time.rested()
-                return connection
-        return None
-
     def _wake(self, node: NodeState) -> None:
         node.wakeup = None
         self._start_pending(node)
@@ -346,9 +333,7 @@
         if self._closing or dials >= MAX_DIALS or dials >= pending:
             return False
         # One spare connection: a request right after an answer would wait for the connection to settle.
-        soon_us = self.clock.now_us() + SHORT_REST_US
-        usable = sum(connection.usable_at_us <= soon_us for connection in node.idle)
-        return dials + usable <= pending
+        return dials + node.usable_by(self.clock.now_us() + SHORT_REST_US) <= pending
 
     def _dialled(self, connection: NodeConnection, node: NodeState, dialled: Deferred[Any]) -> None:
         node.dials.discard(dialled)
--- a/gaugesail/http/node_state.py
+++ b/gaugesail/http/node_state.py
@@ -42,6 +42,22 @@
     settle_time: SettleTime = field(default_factory=SettleTime)
     generation: int = 0  # increases when connections to the old address may no longer be used
 
+    def pop_usable(self, now_us: int, max_idle_us: int) -> NodeConnection | None:
+        """Return the latest used idle connection that has rested; abort those idle for ``max_idle_us``."""
+        for connection in reversed(list(self.idle)):
+            if connection.generation != self.generation or now_us - connection.idle_since_us >= max_idle_us:
+                connection.abort()
+            elif connection.usable_at_us <= now_us:
+                self.idle.remove(connection)
+                if connection.usable_at_us > connection.idle_since_us:
+                    self.settle_time.rested()
+                return connection
+        return None
+
+    def usable_by(self, at_us: int) -> int:
+        """Return how many of the idle connections will have rested by then."""
+        return sum(connection.usable_at_us <= at_us for connection in self.idle)
+
     @property
     def connections(self) -> int:
         """Number of connections, dials in progress included."""
