--- a/gaugesail/core/request_ids.py
+++ b/gaugesail/core/request_ids.py
@@ -65,7 +65,7 @@
         self._in_use: set[str] = set()
         self._sent: set[str] = set()  # of those in use
         self._held: set[str] = set()  # whose client is connected and may not have read the answer
-        self._unread: dict[str, None] = {}  # of those, the ones that have run and are no longer in use
+        self._unread: set[str] = set()  # of those, the ones that have run and are no longer in use
         self._abandoned = _ExpiringIds(clock)
         self._of_sibling = _ExpiringIds(clock)
         self.max_remembered = MAX_REMEMBERED
@@ -95,7 +95,7 @@
         """The client has read the answer, or the request has not run; ignored if the client has left."""
         self._held.discard(request_id)
         if request_id in self._unread:
-            del self._unread[request_id]
+            self._unread.discard(request_id)
             self._tell_released(request_id)
 
     def send(self, request_id: str) -> None:
@@ -107,10 +107,10 @@
     def abandon(self, request_id: str) -> None:
         """Remember an id that may have run, as its client has left."""
         self._held.discard(request_id)
-        self._unread.pop(request_id, None)
+        self._unread.discard(request_id)
         self._abandoned.add(request_id, self.max_remembered)
         if self.link is not None and request_id not in self._sent:
-            self.link.ids_used((request_id,))  # it was released with its answer
+            self.link.ids_used((request_id,))  # which remembers it from now on
 
     def forget(self, request_id: str) -> None:
         """Forget an abandoned id that has not run after all."""
@@ -124,7 +124,7 @@
             return
         self._sent.discard(request_id)
         if request_id in self._held:
-            self._unread[request_id] = None
+            self._unread.add(request_id)
         elif request_id not in self._abandoned:
             self._tell_released(request_id)
 
--- a/gaugesail/http/answer_stream.py
+++ b/gaugesail/http/answer_stream.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..core.ports import BodySource
-from ..net import DrainNotifier, unsent_output
+from ..net import DrainNotifier, kernel_socket, unsent_bytes
 
 if TYPE_CHECKING:
     from .client_connection import ClientConnection
@@ -57,8 +57,8 @@
         if self._connection.lost:
             return
         link = self._connection.link
-        unsent = unsent_output(link) if takes_unsent_output else None
-        can_move = unsent is not None and len(unsent) <= MAX_MOVED_OUTPUT_BYTES
+        has_socket = kernel_socket(link) is not None  # else the rehearsal's reactor in memory
+        can_move = takes_unsent_output and has_socket and unsent_bytes(link) <= MAX_MOVED_OUTPUT_BYTES
         if self._handing_over and not can_move:
             return
         if not self._handing_over:
--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -464,7 +464,7 @@
             self.input.parser.export_state(),
             self.input.truncated,
             self.input.export_arrivals(),
-            unsent_output(self.link) or b"",
+            unsent_output(self.link),
         )
         self.stream = None
         self.lost = True
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -171,9 +171,12 @@
 
     def request_may_have_stalled(self, connection: ClientConnection) -> None:
         """End a client that had stopped amid a request before it was read, if others wait for its place."""
-        if self.held and connection.arriving and connection.stalled_at_us() < self.clock.now_us():
-            self._count_eviction()
-            connection.evict()
+        if self.held and connection.arriving and stalled_longest_first([connection], self.clock.now_us()):
+            self._evict(connection)
+
+    def _evict(self, connection: ClientConnection) -> None:
+        self._count_eviction()
+        connection.evict()
 
     def _count_eviction(self) -> None:
         self.engine.counts["evicted"] += 1
@@ -227,8 +230,7 @@
         costly = [connection for connection in self._open if connection.is_costly]
         to_evict = dict.fromkeys(stalled_longest_first(arriving, now_us) + costly)
         for connection in list(to_evict)[: max(1, self._max_connections // EVICTED_PLACES_DIVISOR)]:
-            self._count_eviction()
-            connection.evict()
+            self._evict(connection)
 
     def end(self) -> None:
         """Reject requests that are still arriving, as the process is about to be killed."""
--- a/gaugesail/http/client_sweep.py
+++ b/gaugesail/http/client_sweep.py
@@ -50,8 +50,7 @@
         connection.owner.engine.counts["unread"] += not connection.lingering
         connection.link.abortConnection()
     elif connection.closing:
-        is_unread = connection.output.is_unread(connection.link)
-        if blocked_us > (CLOSING_READER_US if is_unread else linger_us):
+        if blocked_us > (CLOSING_READER_US if connection.output.is_unread else linger_us):
             connection.link.loseConnection()  # the client has not closed its side
 
 
--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -84,8 +84,7 @@
 
     def start(self, request: NodeRequest, message: bytes) -> None:
         """Write a complete request."""
-        self._assign(request)
-        self._message_bytes = len(message)
+        self._assign(request, len(message))
         self._write_end(message)
 
     def start_upload(self, request: NodeRequest, head: bytes, producer: PushProducer) -> None:
@@ -106,13 +105,13 @@
         if self._request is not None and self._request.upload is not None:
             self._end_with(AttemptResult.NO_CONNECTION)
 
-    def _assign(self, request: NodeRequest) -> None:
+    def _assign(self, request: NodeRequest, message_bytes: int = 0) -> None:
         self._request = request
         self.written = False
         self._interim_answers = 0
         self._first_byte_us = 0
         self._last_byte_us = 0
-        self._message_bytes = 0
+        self._message_bytes = message_bytes
         self._started_us = self._pool.clock.now_us()
         self._idle_before_us = self._started_us - self.idle_since_us
         if request.attempt is not None:
--- a/gaugesail/http/settle_time.py
+++ b/gaugesail/http/settle_time.py
@@ -11,9 +11,8 @@
 SHORT_REST_US = 5_000
 MAX_DELAY_US = 1_000_000  # later bytes are no second answer, but for example the notice of a close
 REST_FACTOR = 3  # times the longest delay of surplus bytes that was seen
-FIRST_CLEAN_ANSWERS = (
-    100  # without surplus bytes, before the rest is short; finds a share of 5 % in all but 1 %
-)
+# Without surplus bytes, before the rest is short; a share of 5 % is found before at all but 1 % of nodes.
+FIRST_CLEAN_ANSWERS = 100
 CLEAN_ANSWERS_AFTER_SURPLUS = 1_000
 CLEAN_AFTER_SURPLUS_US = 60_000_000
 
@@ -28,11 +27,13 @@
 
     def rest_us(self, now_us: int) -> int:
         """Return how long a connection rests whose answer ends now."""
-        if self._clean_answers_left or now_us < self._long_until_us:
+        if self._may_send_surplus(now_us):
             return max(LONG_REST_US, REST_FACTOR * self._longest_delay_us)
-        self._longest_delay_us = 0
         return SHORT_REST_US
 
+    def _may_send_surplus(self, now_us: int) -> bool:
+        return self._clean_answers_left > 0 or now_us < self._long_until_us
+
     def rested(self) -> None:
         """Note that a connection has rested without surplus bytes."""
         self._clean_answers_left = max(0, self._clean_answers_left - 1)
@@ -41,6 +42,7 @@
         """Note bytes that answer no request, ``delay_us`` after the end of the answer before."""
         if delay_us > MAX_DELAY_US:
             return
+        longest_before_us = self._longest_delay_us if self._may_send_surplus(now_us) else 0
         self._clean_answers_left = CLEAN_ANSWERS_AFTER_SURPLUS
         self._long_until_us = now_us + CLEAN_AFTER_SURPLUS_US
-        self._longest_delay_us = max(self._longest_delay_us, delay_us)
+        self._longest_delay_us = max(longest_before_us, delay_us)
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -96,11 +96,18 @@
     return waited_ms * 1000 if MIN_KERNEL_WAIT_MS <= waited_ms <= MAX_KERNEL_WAIT_MS else 0
 
 
+def kernel_socket(link: Any) -> socket.socket | None:
+    """Return the open socket of a transport; None in the rehearsal's reactor in memory, or once closed."""
+    connection = getattr(link, "socket", None)
+    is_open = isinstance(connection, socket.socket) and connection.fileno() >= 0
+    return connection if is_open else None
+
+
 def received_ago_ms(link: Any) -> int:
     """How long ago the kernel received the latest bytes of a connection, in milliseconds; 0 if not known."""
-    connection = getattr(link, "socket", None)
-    if not isinstance(connection, socket.socket):
-        return 0  # the rehearsal's reactor in memory: no real socket
+    connection = kernel_socket(link)
+    if connection is None:
+        return 0
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
     except OSError:
@@ -109,9 +116,9 @@
 
 
 def _poll_events(link: Any) -> int:
-    connection = getattr(link, "socket", None)
-    if not isinstance(connection, socket.socket) or connection.fileno() < 0:
-        return 0  # no real socket (the rehearsal's reactor in memory), or closed already
+    connection = kernel_socket(link)
+    if connection is None:
+        return 0
     poller = select.poll()
     poller.register(connection.fileno(), select.POLLIN | select.POLLRDHUP)
     return next((events for _, events in poller.poll(0)), 0)
@@ -124,9 +131,8 @@
     first byte, for example that the client is still connected, would be outdated.  If the socket has unread
     input, for example the peer's close, the data is left to Twisted, which reads first.
     """
-    connection = getattr(link, "socket", None)
-    plain = isinstance(connection, socket.socket) and not (link.dataBuffer or link._tempDataLen)
-    if connection is not None and plain and not unread(link):
+    connection = kernel_socket(link)
+    if connection is not None and not unsent_bytes(link) and not unread(link):
         with suppress(OSError):  # full or broken: the rest is written by Twisted, which reports the error
             data = data[connection.send(data) :]
     if data:
@@ -145,10 +151,15 @@
     link.abortConnection()
 
 
-def unsent_output(link: Any) -> bytes | None:
-    """Return what was written to a connection, but has not been taken by the kernel; None if not known."""
-    if not isinstance(getattr(link, "socket", None), socket.socket):
-        return None  # the rehearsal's reactor in memory
+def unsent_bytes(link: Any) -> int:
+    """How many bytes were written to a transport with a socket, but have not been taken by the kernel."""
+    return len(link.dataBuffer) - int(link.offset) + int(link._tempDataLen)
+
+
+def unsent_output(link: Any) -> bytes:
+    """Return these bytes; nothing of a transport without a socket, whose output counts as sent."""
+    if kernel_socket(link) is None:
+        return b""
     return bytes(link.dataBuffer[link.offset :]) + b"".join(link._tempDataBuffer)
 
 
--- a/gaugesail/output_progress.py
+++ b/gaugesail/output_progress.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import fcntl
-import socket
 import struct
 import termios
 from typing import Any
 
 from .core.ports import Clock
+from .net import kernel_socket, unsent_bytes
 from .peer_progress import PeerProgress
 
 UNREAD_US = 60_000_000  # a client that reads nothing for longer is treated as lost
@@ -22,15 +22,14 @@
 
 def unacknowledged_bytes(link: Any) -> int | None:
     """The bytes written to a transport that its peer has not acknowledged; None if that is not known."""
-    connection = getattr(link, "socket", None)
-    if not isinstance(connection, socket.socket) or connection.fileno() < 0:
-        return None  # the rehearsal's reactor in memory, or closed
+    connection = kernel_socket(link)
+    if connection is None:
+        return None
     try:
         queued = _INTEGER.unpack(fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(_INTEGER.size)))[0]
     except OSError:
         return None
-    buffered: int = len(link.dataBuffer) - link.offset + link._tempDataLen
-    return int(queued) + buffered
+    return int(queued) + unsent_bytes(link)
 
 
 class OutputProgress:
@@ -46,6 +45,11 @@
         """When the peer has last read anything."""
         return self._steps.since_us
 
+    @property
+    def unacknowledged(self) -> int:
+        """The bytes that the peer had not acknowledged at the latest look; 0 if that is not known."""
+        return self._unacknowledged or 0
+
     @property
     def stalled_at_us(self) -> int:
         """When the peer counts as stalled if it reads nothing until then."""
--- a/gaugesail/unread_output.py
+++ b/gaugesail/unread_output.py
@@ -11,7 +11,7 @@
 from .buffers import BufferPool
 from .core.ports import Clock
 from .memory_holders import Holder, MemoryHolders
-from .output_progress import OutputProgress, unacknowledged_bytes
+from .output_progress import OutputProgress
 
 # Of what is read at once: one fills the transport's buffer, one was read before the pause.
 UNCHARGED_READS = 2
@@ -41,9 +41,10 @@
         self._progress.sample(link)
         return self._progress.stalled_at_us
 
-    def is_unread(self, link: Any) -> bool:
-        """Whether the client has yet to take some of what was written."""
-        return self.full or (unacknowledged_bytes(link) or 0) > FIN_BYTES
+    @property
+    def is_unread(self) -> bool:
+        """Whether the client had yet to take some of what was written at the latest sample."""
+        return self.full or self._progress.unacknowledged > FIN_BYTES
 
     def filled(self, link: Any) -> None:
         """The transport's write buffer is full."""
--- a/tests/http/test_client_sweep.py
+++ b/tests/http/test_client_sweep.py
@@ -22,9 +22,7 @@
     def __init__(self, read_at_us: int) -> None:
         self.aborted = False
         self.link = SimpleNamespace(abortConnection=self._abort)
-        self.output = SimpleNamespace(
-            full=False, sample=lambda link: read_at_us, is_unread=lambda link: False
-        )
+        self.output = SimpleNamespace(full=False, sample=lambda link: read_at_us, is_unread=False)
         self.owner = SimpleNamespace(engine=SimpleNamespace(counts=Counter()), held=False)
 
     def _abort(self) -> None:
--- a/tests/process/test_order_after_a_stop.py
+++ b/tests/process/test_order_after_a_stop.py
@@ -9,26 +9,15 @@
 
 import pytest
 
-from ..support.faulty_process import HOST, ListService, ThreadedNode, read_head
+from ..support.faulty_process import HOST, ListService, read_head
 from ..support.gateway_processes import GatewayProcesses, put_request
+from ..support.pressed_gateway import ScriptedNode, answer_at_once
 
 TIMEOUT_S = 3.0
 APART_S = 0.1  # between the two writes
 ITEM = 5
 
 
-class RecordingNode(ThreadedNode):
-    """A node that notes the order in which requests reach it."""
-
-    def __init__(self) -> None:
-        self.names: list[str] = []
-        super().__init__(0)
-
-    def work(self, name: str) -> None:
-        self.names.append(name)
-        time.sleep(0.02)
-
-
 class Client:
     """A client on a connection of its own."""
 
@@ -57,7 +46,7 @@
     tmp_path: Path, has_successor: bool, queued: int
 ) -> None:
     """Guards against a later write that is sent while an earlier one's connection is only being accepted."""
-    node = RecordingNode()
+    node = ScriptedNode(0, answer_at_once)
     discovery = ListService([node])
     gateway = GatewayProcesses(tmp_path, discovery, {"categories__1__keep_order": "true"})
     clients = []
@@ -78,7 +67,7 @@
         time.sleep(APART_S)
         stopped.send_signal(signal.SIGCONT)
         assert [client.read().split()[1] for client in (new, connected)] == ["200", "200"]
-        assert node.names == ["first", "second", "third"]
+        assert node.ids == ["first", "second", "third"]
     finally:
         for client in clients:
             client.close()
