Tell a third process the ids of the two that are ending before it serves

Cause: a process that starts beside two others is turned away by the second until the first has ended, and learns no ids until then, but serves as soon as the clients' address is free. A request whose client had left at the second ran again there under its id.

--- a/gaugesail/handover.py
+++ b/gaugesail/handover.py
@@ -224,6 +224,9 @@
         """Handle the connection of a successor, which gets the socket once it has sent Hello, or is late."""
         # One successor at a time: the state must not be handed over to two.
         if self._connection is not None or self.predecessor.present or self._closed:
+            # It asks again, but may serve before it is answered, as the clients' address becomes free.
+            self._owner.ids.inform(connection)
+            connection.link.unregisterProducer()  # which would delay the close of a full link
             connection.link.loseConnection()
             return
         self._connection = connection
--- a/gaugesail/id_coordination.py
+++ b/gaugesail/id_coordination.py
@@ -31,10 +31,14 @@
         if connection is self._connection:
             self._connection = self.ids.link = None
 
+    def inform(self, connection: HandoverConnection) -> None:
+        """Tell a process that this one does not coordinate with yet all ids that may be running."""
+        self._send_used(connection, self.ids.running())
+
     def end_process(self) -> None:
         """Tell the other process a last time what may have run, as it alone remembers that from now on."""
         if self._connection is not None and not self._connection.backlogged:
-            self._send_used(self.ids.running_here())
+            self._send_used(self._connection, self.ids.running_here())
 
     def received(self, message: IdMessage) -> None:
         """Handle a message of the other process."""
@@ -64,9 +68,10 @@
 
     def _send_all(self) -> None:
         self._missed = False
-        self._send_used(self.ids.running())
+        if self._connection is not None:
+            self._send_used(self._connection, self.ids.running())
 
-    def _send_used(self, ids: tuple[str, ...]) -> None:
+    @staticmethod
+    def _send_used(connection: HandoverConnection, ids: tuple[str, ...]) -> None:
         for start in range(0, len(ids), IDS_IN_A_MESSAGE):
-            if self._connection is not None:
-                self._connection.send_now(IdsUsed(ids[start : start + IDS_IN_A_MESSAGE]))
+            connection.send_now(IdsUsed(ids[start : start + IDS_IN_A_MESSAGE]))
--- a/tests/process/test_repeated_ids.py
+++ b/tests/process/test_repeated_ids.py
@@ -16,6 +16,7 @@
 from .test_slow_bodies import read_answer
 
 WORK_S = 0.6
+LONG_WORK_S = 2.2
 TIMEOUT_S = 2.5
 
 
@@ -30,7 +31,7 @@
 
     @staticmethod
     def _work(connection: socket.socket, head: dict[str, str]) -> None:
-        time.sleep(WORK_S)
+        time.sleep(LONG_WORK_S if head["request-id"] == "long" else WORK_S)
         connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
     def connect(self) -> socket.socket:
@@ -145,3 +146,20 @@
     kept.settimeout(2 * TIMEOUT_S)
     assert kept.recv(4096).startswith(b"HTTP/1.1 409")
     assert upgrade.ids("left") == 1
+
+
+def test_an_id_does_not_run_again_at_a_third_process_that_serves_beside_two_ending_ones(
+    upgrade: Upgrade,
+) -> None:
+    """Guards against a process that is told no ids until the first of the two has ended."""
+    waits = upgrade.connect()
+    waits.sendall(put_request("long", 2, 0, TIMEOUT_S))  # the first process waits for its answer
+    upgrade.replace()
+    first, second = upgrade.processes.started
+    upgrade.send_and_leave(upgrade.connect(), "left")
+    first.send_signal(signal.SIGTERM)
+    upgrade.processes.start()
+    second.send_signal(signal.SIGTERM)
+    upgrade.processes.await_serving(2)
+    assert first.poll() is None, "the third process did not serve beside the first: nothing was tested"
+    assert (upgrade.repeat("left"), upgrade.ids("left")) == (409, 1)
