--- a/gaugesail/cli.py
+++ b/gaugesail/cli.py
@@ -50,7 +50,8 @@
 
 @click.group(cls=LazyGroup, lazy={
     "budgets": "gaugesail.measure.budgets:command", "fleet-cost": "gaugesail.measure.fleet_cost:command",
-    "ramp": "gaugesail.measure.ramp:command", "storm": "gaugesail.measure.storm:command",
+    "ramp": "gaugesail.measure.ramp:command",
+    "server-count": "gaugesail.measure.server_count:command", "storm": "gaugesail.measure.storm:command",
 })  # fmt: skip
 def measure() -> None:
     """Measure the gateway, in virtual time or against a baseline in the same run."""
