--- a/gaugesail/cli.py
+++ b/gaugesail/cli.py
@@ -49,7 +49,8 @@
 
 
 @click.group(cls=LazyGroup, lazy={
-    "budgets": "gaugesail.measure.budgets:command", "fleet-cost": "gaugesail.measure.fleet_cost:command",
+    "budgets": "gaugesail.measure.budgets:command", "decisions": "gaugesail.measure.decision_digest:command",
+    "fleet-cost": "gaugesail.measure.fleet_cost:command",
     "ramp": "gaugesail.measure.ramp:command",
     "server-count": "gaugesail.measure.server_count:command", "storm": "gaugesail.measure.storm:command",
 })  # fmt: skip
--- a/tests/support/lumpy_answers.py
+++ b/tests/support/lumpy_answers.py
@@ -10,7 +10,7 @@
 
 from .faulty_process import HOST
 
-LAST_BYTE_AFTER_S = 8.0  # a client reads on for so long
+LAST_BYTE_AFTER_S = 8.0  # a client waits so long for more
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -87,15 +87,18 @@
     is_whole: bool
 
 
-def exchange(port: int, message: bytes, pause_s: float = 0.0, receive_buffer: int = 0) -> Received:
-    """Send a request and read its answer, resting ``pause_s`` after each read."""
+def exchange(
+    port: int, message: bytes, pause_s: float = 0.0, receive_buffer: int = 0,
+    patience_s: float = LAST_BYTE_AFTER_S,
+) -> Received:  # fmt: skip
+    """Send a request and read its answer, resting ``pause_s`` after each read, ``patience_s`` for one."""
     text = b""
     first_s = 0.0
     client = socket.socket()
     if receive_buffer:
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     with client:
-        client.settimeout(LAST_BYTE_AFTER_S)
+        client.settimeout(patience_s)
         client.connect((HOST, port))
         client.sendall(message)
         began = time.monotonic()
