Count what is decided after its time, and log streamed answers that are given up

Change: counters answered_late, answered_late_ms, answered_too_late, timers_late, timers_late_ms and the field answers_late_most_ms of the counts line; log line stream_given_up with its reason.

--- a/gaugesail/core/deadlines.py
+++ b/gaugesail/core/deadlines.py
@@ -41,15 +41,21 @@
 
     ``on_due`` is called when the earliest deadline is due; it calls ``pop_due`` until that returns None, and
     ``ensure_scheduled`` afterwards.  ``is_obsolete`` tells whether what a deadline is for has ended; whenever
-    the queue has doubled, such deadlines are dropped, so that ended requests do not fill it.
+    the queue has doubled, such deadlines are dropped, so that ended requests do not fill it.  ``on_pop`` gets
+    the present time and that of each deadline that is due.
     """
 
     def __init__(
-        self, clock: Clock, on_due: Callable[[], None], is_obsolete: Callable[[Deadline], bool]
+        self,
+        clock: Clock,
+        on_due: Callable[[], None],
+        is_obsolete: Callable[[Deadline], bool],
+        on_pop: Callable[[int, int], None] = lambda now_us, at_us: None,
     ) -> None:
         self._clock = clock
         self._on_due = on_due
         self._is_obsolete = is_obsolete
+        self._on_pop = on_pop
         self._sweep_at = SMALLEST_SWEEP  # deadlines
         self._heap: list[tuple[int, int, Deadline]] = []  # time, sequence number, deadline
         self._added = 0
@@ -74,7 +80,9 @@
         """Remove and return the earliest deadline due by ``now_us``, or None."""
         if not self._heap or self._heap[0][0] > now_us:
             return None
-        return heapq.heappop(self._heap)[2]
+        at_us, _, deadline = heapq.heappop(self._heap)
+        self._on_pop(now_us, at_us)
+        return deadline
 
     def ensure_scheduled(self) -> None:
         """Schedule the call for the earliest deadline, unless one is scheduled already."""
--- a/gaugesail/core/engine.py
+++ b/gaugesail/core/engine.py
@@ -46,6 +46,7 @@
 from .attempts import ANSWER_MARGIN_US, Attempts
 from .deadlines import AttemptDeadline, Deadline, DeadlineQueue, PolicyTimer, RequestDeadline
 from .final_answers import FinalAnswers
+from .lateness import Lateness
 from .listed_nodes import ListedNodes
 from .policy_runner import PolicyRunner
 from .ports import (
@@ -103,7 +104,9 @@
         self._table = RequestTable(self.request_ids)
         self._open = self._table.open
         self._answers = FinalAnswers(self._table, self._activity)
-        self._deadlines = DeadlineQueue(clock, self._deadlines_due, self._is_obsolete)
+        self._deadlines = DeadlineQueue(
+            clock, self._deadlines_due, self._is_obsolete, self._activity.lateness.timer_due
+        )
         gateway = Gateway(settings, seed, clock.now_us())
         self.policy = PolicyRunner(gateway, clock, self._activity, self._open, self._carry_out)
         self.keys = SharedKeys(self.policy)
@@ -129,6 +132,11 @@
         """Event counters since the start, keyed by the names used in the log."""
         return self._activity.counts
 
+    @property
+    def lateness(self) -> Lateness:
+        """What was decided after its time."""
+        return self._activity.lateness
+
     @property
     def trace(self) -> Trace:
         """The latest steps of requests and nodes, in memory."""
--- a/gaugesail/core/final_answers.py
+++ b/gaugesail/core/final_answers.py
@@ -71,6 +71,7 @@
     def _close(self, entry: OpenRequest, counter: str) -> None:
         self._table.close(entry)
         self._activity.counts[counter] += 1
+        self._activity.answered(entry.deadline_us)
 
     def _deliver(self, entry: OpenRequest, kind: AnswerKind, call: Callable[[], _Result]) -> _Result | None:
         self._activity.note(entry.request.client_request_id, Step.ANSWERED, kind.value)
--- a/gaugesail/counts_report.py
+++ b/gaugesail/counts_report.py
@@ -56,6 +56,7 @@
             ids=len(self._engine.request_ids),
             volumes=len(self._engine.policy.gateway.volumes.budgets),
             maintenance=len(self._engine.in_maintenance),
+            answers_late_most_ms=self._engine.lateness.take_most_us() // 1000,
             lines_dropped=self._log.dropped,
             **changes,
         )
--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -313,6 +313,10 @@
             sink.finish()
         self._pool.finish(request, result_of(head), answer)
 
+    def rest_us(self, now_us: int) -> int:
+        """How long ago the latest byte of the answer arrived, in microseconds."""
+        return now_us - self._last_byte_us
+
     def stalled(self, now_us: int) -> bool:
         """Whether an answer has started and then stopped for longer than the limit.
 
@@ -330,6 +334,8 @@
         """End an attempt whose answer has stalled."""
         head = self._head
         has_status = head is not None and self._sink is None
+        if self._sink is not None:
+            self._pool.stream_given_up(self, "stalled")
         self._end_with(result_of(head) if head is not None and has_status else AttemptResult.ERROR)
 
     def describe_answer(self) -> str:
@@ -338,7 +344,7 @@
         if head is None:
             return f"no head, {self._parser.buffered} bytes"
         length = "no length" if head.length is None else f"length {head.length}"
-        quiet_ms = (self._pool.clock.now_us() - self._last_byte_us) // 1000
+        quiet_ms = self.rest_us(self._pool.clock.now_us()) // 1000
         buffered = self._body.length if self._body is not None else 0
         return f"{head.status}, {length}, {buffered} bytes buffered, quiet for {quiet_ms} ms"
 
--- a/gaugesail/http/node_owner.py
+++ b/gaugesail/http/node_owner.py
@@ -46,6 +46,10 @@
         """The connection has ended; called at least once for each connection."""
         ...
 
+    def stream_given_up(self, connection: NodeConnection, why: str) -> None:
+        """A streamed answer is about to be broken off by the gateway."""
+        ...
+
     def finish(self, request: NodeRequest, result: AttemptResult, answer: bytes = b"") -> None:
         """Report the result of the request that the connection carried."""
         ...
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -405,6 +405,18 @@
         if node.pending and node.wakeup is None:
             node.wakeup = self.clock.call_later(0, lambda: self._wake(node))
 
+    def stream_given_up(self, connection: NodeConnection, why: str) -> None:
+        """Log a streamed answer that is about to be broken off by the gateway."""
+        attempt = connection.attempt
+        if attempt is not None:
+            self._log.info(
+                "stream_given_up",
+                request=attempt.client_request_id,
+                node=attempt.node_id.decode(errors="replace"),
+                why=why,
+                answer=connection.describe_answer(),
+            )
+
     def sweep(self) -> None:
         """Close connections idle for too long, end stalled answers and forget removed nodes."""
         now_us = self.clock.now_us()
