Decide without looking at all servers at a request, a tick, an event or a change

Cause: whether any request waits was found by looking at every shard after each batch; the queue check and the control period went through all shards, each new server averaged the latencies of all, each choice of a shard listed all, a reload rewrote all records, and the served rates and unserved units of all were gone through. Change: shards that wait, that have a node and that a control period may change are kept as that changes, in the order in which they became known; the mean latency is kept; a rate catches up when it is used.

--- a/gaugesail/policy/admission.py
+++ b/gaugesail/policy/admission.py
@@ -48,11 +48,11 @@
             return
         self._retry_budget.record_request(state.now)
         request = self._open(event)
-        self._node_table.shards[request.shard].arrivals[request.class_position] += 1
+        shard = self._node_table.shards[request.shard]
+        shard.arrivals[request.class_position] += 1
         self._recovery.request_received(state.now, request, event)
         self._queue.enqueue(request)
-        node = self._node_table.shards[request.shard].node
-        if request.latest_useful_start(node) <= state.now + state.tick_us:
+        if request.latest_useful_start(shard.node) <= state.now + state.tick_us:
             # The next queue check may run after that, or after the client has given up.
             self._queue.reject(request, RejectionReason.TOO_LATE)
 
--- a/gaugesail/policy/congestion_window.py
+++ b/gaugesail/policy/congestion_window.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from .gateway_state import GatewayState
+from .measured_latencies import MeasuredLatencies
 from .records import NodeRecord, ShardRecord
 from .recovery import RecoveryRamp
 
@@ -37,30 +38,39 @@
 class CongestionWindows:
     """Updates the congestion windows of one gateway's nodes and splits their slots among the classes."""
 
-    def __init__(self, state: GatewayState, recovery: RecoveryRamp) -> None:
+    def __init__(self, state: GatewayState, measured: MeasuredLatencies, recovery: RecoveryRamp) -> None:
         self._state = state
+        self._measured = measured
         self._recovery = recovery
 
-    def end_period(self, shard: ShardRecord) -> None:
-        """Update the window of the shard's node from the period that ends now, and begin the next one."""
+    def end_period(self, shard: ShardRecord) -> bool:
+        """Update the window of the shard's node from the period that ends now, and begin the next one.
+
+        Returns whether further periods change nothing until something happens at the shard.
+        """
         node = shard.node
         is_filled = any(shard.previous_queue_lengths) and any(shard.waiting)
+        is_settled = not (any(shard.waiting) or any(shard.arrivals))
         expected_per_s = 0.0 if node is None else node.expected_per_s
         shard.drain.end_period(CONTROL_PERIOD_US / 1e6, is_filled, expected_per_s)
         if node is not None:
-            sums = self._smooth_latencies(node)
-            if sums.smoothed:
-                self._move_window(node, sums)
+            if any(node.latency_counts):
+                is_settled = False
+                sums = self._smooth_latencies(node)
+                if sums.smoothed:
+                    self._move_window(node, sums)
             self._split_slots(shard, node)
             node.latency_sums = [0.0] * len(node.latency_sums)
             node.latency_counts = [0] * len(node.latency_sums)
             node.peak_in_flight = len(node.in_flight)
         shard.previous_queue_lengths = [len(requests) for requests in shard.waiting]
         shard.arrivals = [0] * len(shard.arrivals)
+        return is_settled
 
     def _smooth_latencies(self, node: NodeRecord) -> LatencySums:
         target = smoothed = base = 0.0
         targets = self._state.latency_targets_us
+        before_us = list(node.latency_us)
         for position, count in enumerate(node.latency_counts):
             if not count:
                 continue
@@ -74,6 +84,8 @@
             target += targets[position]
             smoothed += node.latency_us[position]
             base += node.base_latency_us[position]
+        self._measured.remove(before_us)
+        self._measured.add(node.latency_us)
         return LatencySums(target, smoothed, base)
 
     def _move_window(self, node: NodeRecord, sums: LatencySums) -> None:
@@ -96,15 +108,22 @@
     def _split_slots(self, shard: ShardRecord, node: NodeRecord) -> None:
         """Give each slot to the class whose forecast exceeds its objective by the largest factor."""
         node.class_slots = [0] * len(self._state.latency_targets_us)
-        for _ in range(max(1, int(node.window))):
-            most_late_class = 0
-            max_lateness = -1.0
-            for position in range(len(shard.waiting)):
-                lateness = self._forecast_lateness(shard, node, position)
-                if lateness > max_lateness:
-                    most_late_class = position
-                    max_lateness = lateness
-            node.class_slots[most_late_class] += 1
+        slots = max(1, int(node.window))
+        if not any(shard.arrivals):  # the forecasts do not depend on the slots
+            node.class_slots[self._most_late_class(shard, node)] = slots
+            return
+        for _ in range(slots):
+            node.class_slots[self._most_late_class(shard, node)] += 1
+
+    def _most_late_class(self, shard: ShardRecord, node: NodeRecord) -> int:
+        most_late_class = 0
+        max_lateness = -1.0
+        for position in range(len(shard.waiting)):
+            lateness = self._forecast_lateness(shard, node, position)
+            if lateness > max_lateness:
+                most_late_class = position
+                max_lateness = lateness
+        return most_late_class
 
     def _forecast_lateness(self, shard: ShardRecord, node: NodeRecord, position: int) -> float:
         """Return the forecast response time of a class, with its slots so far, divided by its objective.
--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -74,7 +74,7 @@
         router = Router(self.slow_start, random.Random(seed + 2))
         self._queue = RequestQueue(state, self.node_table, self.ordered_keys, self.recovery, router)
         self._queue_check = QueueCheck(state, self.node_table, self._queue, self.recovery)
-        self._congestion_windows = CongestionWindows(state, self.recovery)
+        self._congestion_windows = CongestionWindows(state, self.node_table.measured, self.recovery)
         outliers = OutlierDetector(state)
         self.dispatcher = Dispatcher(
             state,
@@ -230,12 +230,17 @@
     def _update_settings(self, settings: Settings) -> None:
         """Apply new settings; open requests keep those in force when they were received."""
         old_targets_us = self.state.latency_targets_us
+        old_objectives_us = self.state.latency_objectives_us
         self.state.update_settings(settings)
         self.slow_start.update_settings(settings)
         self.rate_limits.update_settings(self.state.now, settings)
         self.retry_budget.update_settings(settings)
         self.recovery.update_settings(settings)
-        self.node_table.update_classes(old_targets_us)
+        if (old_targets_us, old_objectives_us) != (
+            self.state.latency_targets_us,
+            self.state.latency_objectives_us,
+        ):
+            self.node_table.update_classes(old_targets_us)
         self.volumes.update_plans()
 
     # ---- timers ----
@@ -247,9 +252,7 @@
         """Set the timer of the next queue check, one per tick while any request waits."""
         if self._queue_check_is_due:
             return
-        if self.ordered_keys.has_waiting_claims or any(
-            any(shard.waiting) for shard in self.node_table.shards.values()
-        ):
+        if self.ordered_keys.has_waiting_claims or self.node_table.shards.has_waiting:
             self._queue_check_is_due = True
             self._set_timer(self.state.tick_us, Timer.QUEUE_CHECK)
 
@@ -266,10 +269,12 @@
     def _end_control_period(self) -> None:
         state = self.state
         self._set_timer(CONTROL_PERIOD_US, Timer.CONTROL_PERIOD)
-        nodes = {number: shard.node for number, shard in self.node_table.shards.items()}
+        shards = self.node_table.shards
+        nodes = {number: shards[number].node for number in self.recovery.shards if number in shards}
         state.actions += self.recovery.end_control_period(state.now, nodes, state.process_count)
-        for shard in self.node_table.shards.values():
-            self._congestion_windows.end_period(shard)
+        for shard in shards.active[:]:
+            if self._congestion_windows.end_period(shard):
+                shards.active.discard(shard)
         self.retry_budget.drop_expired(state.now)
         self.ordered_keys.drop_idle()
         self.volumes.drop_idle()
--- a/gaugesail/policy/node_table.py
+++ b/gaugesail/policy/node_table.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-
 from .congestion_window import INITIAL_WINDOW, SLOW_START_WINDOW
 from .events import Endpoint, EndpointList, EndpointListKind, EndpointState, MaintenanceChanged
 from .gateway_state import GatewayState
+from .measured_latencies import MeasuredLatencies
 from .node_starts import NodeStartTimes
-from .records import NodeRecord, ShardRecord
+from .records import NodeRecord
 from .recovery import RecoveryRamp
 from .settings import NodeId
+from .shard_table import ShardTable
 from .slow_start import SlowStart
 
 
@@ -23,11 +23,13 @@
         self._recovery = recovery
         self._starts = NodeStartTimes()
         self.nodes: dict[NodeId, NodeRecord] = {}
-        self.shards: dict[int, ShardRecord] = defaultdict(self._new_shard)
+        self.shards = ShardTable(lambda: len(state.latency_targets_us))
         self.in_maintenance: set[NodeId] = set()
-
-    def _new_shard(self) -> ShardRecord:
-        return ShardRecord(len(self._state.latency_targets_us))
+        self._unlisted: dict[
+            NodeId, NodeRecord
+        ] = {}  # not ready by the list, perhaps with attempts in flight
+        self.measured = MeasuredLatencies()
+        self.measured.restart(state.latency_targets_us, ())
 
     def node_of(self, shard: int) -> NodeId | None:
         """Return the node that serves a shard now, or None."""
@@ -36,7 +38,9 @@
 
     def mark_changed(self, shard: int) -> None:
         """Have a shard's waiting requests dispatched at the end of the batch."""
-        self._state.changed_shards[shard] = self.shards[shard]
+        record = self.shards[shard]
+        self._state.changed_shards[shard] = record
+        self.shards.active.add(record)
 
     def update(self, event: EndpointList) -> None:
         """Apply an endpoint list, or changes to it."""
@@ -49,9 +53,16 @@
     def _remove_unlisted(self, listed: set[NodeId]) -> None:
         for node in self.nodes.values():
             if node.node_id not in listed:
-                node.listed_as_ready = False
+                self._set_listed(node, False)
                 self._set_unready(node)
 
+    def _set_listed(self, node: NodeRecord, as_ready: bool) -> None:
+        node.listed_as_ready = as_ready
+        if as_ready:
+            self._unlisted.pop(node.node_id, None)
+        else:
+            self._unlisted[node.node_id] = node
+
     def _update_endpoint(self, endpoint: Endpoint) -> None:
         node = self.nodes.get(endpoint.node_id)
         if node is None:
@@ -59,7 +70,7 @@
         if endpoint.started_us not in (0, node.listed_start_us):
             started_at = self._starts.started_at(self._state.now, endpoint.node_id)
             self._set_started(node, endpoint.started_us, started_at)
-        node.listed_as_ready = endpoint.state is EndpointState.READY
+        self._set_listed(node, endpoint.state is EndpointState.READY)
         if node.listed_as_ready and node.node_id not in self.in_maintenance:
             self._set_ready(node)
         else:
@@ -69,9 +80,8 @@
         targets = self._state.latency_targets_us
         node = NodeRecord(endpoint.node_id, endpoint.shard, endpoint.zone, INITIAL_WINDOW, list(targets))
         # A node without answers is assumed to be as fast as the average of the measured ones.
-        measured = [other.latency_us for other in self.nodes.values() if other.latency_us != targets]
-        if measured:
-            node.latency_us = [sum(latencies) / len(measured) for latencies in zip(*measured, strict=True)]
+        node.latency_us = self.measured.mean() or node.latency_us
+        self.measured.add(node.latency_us)
         self.nodes[endpoint.node_id] = node
         return node
 
@@ -93,6 +103,7 @@
         shard = self.shards[node.shard]
         if shard.node is None or not shard.node.ready or node.listed_start_us >= shard.node.listed_start_us:
             shard.node = node
+            self.shards.available.add(shard)
             shard.in_maintenance = False
             self._recovery.node_ready(self._state.now, node)
         self.mark_changed(node.shard)
@@ -100,8 +111,10 @@
     def _set_unready(self, node: NodeRecord) -> None:
         node.ready = False
         shard = self.shards[node.shard]
+        self.shards.active.add(shard)
         if shard.node is node:
             shard.node = None
+            self.shards.available.discard(shard)
         now_in_maintenance = node.node_id in self.in_maintenance
         shard.in_maintenance = shard.node is None and (shard.in_maintenance or now_in_maintenance)
         if shard.node is None:
@@ -138,9 +151,13 @@
             node.update_classes(old_targets_us, targets)
         for shard in self.shards.values():
             shard.add_classes(len(targets))
+        self.measured.restart(targets, (node.latency_us for node in self.nodes.values()))
+        self.shards.activate_all()
 
     def drop_unlisted(self) -> None:
         """Drop the nodes that are not listed as ready and have nothing in flight."""
-        self.nodes = {
-            node_id: node for node_id, node in self.nodes.items() if node.listed_as_ready or node.in_flight
-        }
+        for node_id, node in list(self._unlisted.items()):
+            if not node.in_flight:
+                del self._unlisted[node_id]
+                del self.nodes[node_id]
+                self.measured.remove(node.latency_us)
--- a/gaugesail/policy/queue_check.py
+++ b/gaugesail/policy/queue_check.py
@@ -45,16 +45,24 @@
     def run(self) -> None:
         """Reject the requests that cannot be served in time; move those that another shard may serve."""
         self._runs += 1
-        for number, shard in list(self._node_table.shards.items()):
-            for request in shard.queued:
-                self._check(request, shard)
-            self._reject_in_outage(number, shard)
-            for request, turn_us in self._over_limit(shard):
-                self._queue.reject(request, RejectionReason.OVER_LIMIT, turn_us)
-            if shard.is_longer or not self._runs % BACKLOG_TICKS:
-                self._reject_unreachable(shard)
+        queued = self._node_table.shards.queued
+        shard = queued.after(None)
+        while shard is not None:
+            self._check_shard(shard)
             if any(shard.waiting):
-                self._node_table.mark_changed(number)
+                self._node_table.mark_changed(shard.number)
+            else:
+                queued.discard(shard)
+            shard = queued.after(shard)
+
+    def _check_shard(self, shard: ShardRecord) -> None:
+        for request in shard.queued:
+            self._check(request, shard)
+        self._reject_in_outage(shard)
+        for request, turn_us in self._over_limit(shard):
+            self._queue.reject(request, RejectionReason.OVER_LIMIT, turn_us)
+        if shard.is_longer or not self._runs % BACKLOG_TICKS:
+            self._reject_unreachable(shard)
 
     def _reject_unreachable(self, shard: ShardRecord) -> None:
         for request, turn_us in self._overflow(shard):
@@ -78,13 +86,13 @@
             return RejectionReason.RETRY_NOT_ALLOWED
         return None
 
-    def _reject_in_outage(self, number: int, shard: ShardRecord) -> None:
+    def _reject_in_outage(self, shard: ShardRecord) -> None:
         """Reject the requests whose time is over before their unavailable shard is expected to return.
 
         The first in order stays: it is the next trial of a failing node.
         """
         now = self._state.now
-        outage_us = self._recovery.outage_us(now, number)
+        outage_us = self._recovery.outage_us(now, shard.number)
         if not outage_us:
             return
         waiting = shard.queued
--- a/gaugesail/policy/records.py
+++ b/gaugesail/policy/records.py
@@ -221,6 +221,8 @@
     """The requests that wait for the node of one shard, by class."""
 
     class_count: int
+    number: int
+    position: int  # in the order in which the shards became known
     waiting: list[list[PendingRequest]] = field(default_factory=list)
     arrivals: list[int] = field(default_factory=list)  # of this control period
     previous_queue_lengths: list[int] = field(default_factory=list)  # at the end of the previous period
--- a/gaugesail/policy/request_queue.py
+++ b/gaugesail/policy/request_queue.py
@@ -34,13 +34,14 @@
 
     def choose_shard(self, class_position: int) -> int:
         """Return the shard for a new object of a class; ``routing.NO_SHARD`` without any node."""
-        return self._router.choose(self._state.now, self._node_table.shards, class_position)
+        return self._router.choose(self._state.now, self._node_table.shards.available, class_position)
 
     def enqueue(self, request: PendingRequest) -> None:
         """Queue a request for the node of its shard."""
         shard = self._node_table.shards[request.shard]
         shard.waiting[request.class_position].append(request)
         shard.is_longer = True
+        self._node_table.shards.queued.add(shard)
         self._node_table.mark_changed(request.shard)
 
     def move(self, request: PendingRequest) -> None:
--- a/gaugesail/policy/routing.py
+++ b/gaugesail/policy/routing.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 
 from .records import NodeRecord, ShardRecord
@@ -27,18 +28,19 @@
         self._slow_start = slow_start
         self._random = random
 
-    def choose(self, now: int, shards: dict[int, ShardRecord], class_position: int) -> int:
-        """Return the drawn shard whose node should answer soonest; ``NO_SHARD`` if no shard has a node."""
-        available = [number for number, shard in shards.items() if shard.node is not None]
+    def choose(self, now: int, available: Sequence[ShardRecord], class_position: int) -> int:
+        """Return the drawn shard whose node should answer soonest; ``NO_SHARD`` if no shard has a node.
+
+        :param available: the shards that have a node.
+        """
         best_shard = NO_SHARD
         shortest_us = float("inf")
-        for number in self._random.sample(available, min(CHOICES, len(available))):
-            shard = shards[number]
+        for shard in self._random.sample(available, min(CHOICES, len(available))):
             if shard.node is None:
                 continue
             expected_us = self._expected_us(now, shard, shard.node, class_position)
             if expected_us < shortest_us:
-                best_shard = number
+                best_shard = shard.number
                 shortest_us = expected_us
         return best_shard
 
--- a/gaugesail/policy/shard_capacity.py
+++ b/gaugesail/policy/shard_capacity.py
@@ -10,6 +10,7 @@
 from .slow_start import UNLIMITED, SlowStart
 
 SERVED_RATE_SMOOTHING = 0.05  # weight of the latest control period in the rate served
+FORGOTTEN_PERIODS = 2_000  # without service, after which a rate is 0
 SERVED_RATE_HEADROOM = 1.25  # assumed capacity of a warm shard as a multiple of the rate served
 
 
@@ -17,8 +18,19 @@
 class ServedRate:
     """The rate at which one shard serves this gateway."""
 
-    per_s: float = 0.0  # units per second, smoothed
+    per_s: float = 0.0  # units per second, smoothed over the control periods before ``period``
     units: float = 0.0  # since the last control period
+    period: int = 0
+
+    def advance(self, period: int) -> None:
+        """Smooth over the control periods up to ``period``, in which nothing was served."""
+        missed = period - self.period
+        self.period = period
+        if missed > FORGOTTEN_PERIODS:
+            self.per_s = 0.0
+            return
+        for _ in range(missed):
+            self.per_s += SERVED_RATE_SMOOTHING * (0.0 - self.per_s)
 
 
 class ShardCapacity:
@@ -28,6 +40,8 @@
         self._settings = settings
         self._slow_start = slow_start
         self._served: dict[int, ServedRate] = {}  # by shard
+        self._in_use: dict[int, ServedRate] = {}  # those with units of this control period
+        self._period = 0  # its number
 
     def update_settings(self, settings: Settings) -> None:
         """Apply new settings; the rates served stay."""
@@ -37,19 +51,27 @@
         """Count the ``units`` of a request that a shard has served."""
         served = self._served.get(shard)
         if served is None:
-            served = self._served[shard] = ServedRate()
+            served = self._served[shard] = ServedRate(period=self._period)
         served.units += units
+        self._in_use[shard] = served
 
     def end_period(self, span_s: float) -> None:
         """End a control period of ``span_s`` seconds."""
-        for served in self._served.values():
+        for served in self._in_use.values():
+            served.advance(self._period)
             served.per_s += SERVED_RATE_SMOOTHING * (served.units / span_s - served.per_s)
             served.units = 0.0
+            served.period = self._period + 1
+        self._in_use.clear()
+        self._period += 1
 
     def served_per_s(self, shard: int) -> float:
         """Return the smoothed rate that a shard has served, in units per second."""
         served = self._served.get(shard)
-        return 0.0 if served is None else served.per_s
+        if served is None:
+            return 0.0
+        served.advance(self._period)
+        return served.per_s
 
     def units_per_s(
         self, now: int, shard: int, health: ShardHealth, node: NodeRecord | None, process_count: int
--- a/gaugesail/policy/unserved_units.py
+++ b/gaugesail/policy/unserved_units.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import islice
 
 from .settings import NodeId
 
+EXAMINED_FOR_ONE = 2  # nodes whose records may be dropped, for each one that is added
+
 
 class UnservedUnits:
     """The units that one gateway has sent to its nodes.  Times are microseconds.
@@ -15,7 +18,8 @@
     """
 
     def __init__(self) -> None:
-        # Sent units are positive, served units negative; both have the time at which they were sent.
+        # Sent units are positive, served units negative; both have the time at which they were sent.  The
+        # node that was sent something last is last.
         self._logs: dict[NodeId, deque[tuple[int, float]]] = {}
 
     def clear(self) -> None:
@@ -24,14 +28,22 @@
 
     def record_sent(self, now: int, node_id: NodeId, units: float, oldest: int) -> None:
         """Record units that are sent to a node; records from before ``oldest`` are dropped."""
-        log = self._logs.get(node_id)
+        log = self._logs.pop(node_id, None)
         if log is None:
-            self._logs = {key: kept for key, kept in self._logs.items() if max(kept)[0] >= oldest}
-            log = self._logs[node_id] = deque()
+            self._drop_before(oldest)
+            log = deque()
+        self._logs[node_id] = log
         log.append((now, units))
         while log[0][0] < oldest:
             log.popleft()
 
+    def _drop_before(self, oldest: int) -> None:
+        """Drop the records of a few of the nodes that were sent nothing since then."""
+        for node_id in list(islice(self._logs, EXAMINED_FOR_ONE)):
+            if max(self._logs[node_id])[0] >= oldest:
+                return
+            del self._logs[node_id]
+
     def record_served(self, node_id: NodeId, sent_at: int, units: float) -> None:
         """Record that a node has served units that were sent at ``sent_at``."""
         log = self._logs.get(node_id)
