Count a pool's connections and find its longest idle one without looking at all servers

What callers saw: each request to a server without a connection cost the more, the more servers had been used.

--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -19,6 +19,7 @@
 from ..core.ports import Attempt, AttemptListener, BodySink, BodySource, ClientRequest, Clock, Logger, Reactor
 from ..memory_holders import stalled_longest_first
 from ..net import attach, dial
+from .connection_table import ConnectionTable
 from .forwarded_request import ForwardedRequest
 from .idle_times import IdleTimes
 from .node_connection import NodeConnection
@@ -56,6 +57,8 @@
         self._adopted: set[NodeConnection] = set()  # from another process, beyond the maximum
         self._addresses: dict[NodeId, NodeAddress] = {}
         self._nodes: dict[NodeId, NodeState] = {}
+        self._unlisted: set[NodeId] = set()  # of them: without an address
+        self._table = ConnectionTable()
         self._in_maintenance: set[NodeId] = set()
         self._closing = False
         self.idle_times = IdleTimes()
@@ -64,7 +67,7 @@
     @property
     def connections(self) -> int:
         """Number of connections to all nodes, dials in progress included."""
-        return sum(node.connections for node in self._nodes.values())
+        return len(self._table)
 
     def change_timeouts(self, idle_us: int, connect_timeout_us: int) -> None:
         """Set the nodes' idle timeout and the timeout of a dial, in microseconds."""
@@ -91,15 +94,13 @@
         """
         if full:
             for node_id in [node_id for node_id in self._addresses if node_id not in addresses]:
-                self._end_unstarted(node_id)
-                del self._addresses[node_id]
+                self._remove_address(node_id)
         for node_id, address in addresses.items():
             self._update_address(node_id, address)
 
     def _update_address(self, node_id: NodeId, address: NodeAddress | None) -> None:
         if address is None:
-            self._end_unstarted(node_id)
-            self._addresses.pop(node_id, None)
+            self._remove_address(node_id)
             return
         old = self._addresses.get(node_id)
         self._addresses[node_id] = address
@@ -109,6 +110,12 @@
         if not address.ready or changed:
             self._end_unstarted(node_id)
 
+    def _remove_address(self, node_id: NodeId) -> None:
+        self._end_unstarted(node_id)
+        self._addresses.pop(node_id, None)
+        if node_id in self._nodes:
+            self._unlisted.add(node_id)
+
     def set_maintenance(self, node_id: NodeId, on: bool) -> None:
         """Start or end the maintenance of a node, which overrides the endpoint list.
 
@@ -231,9 +238,11 @@
         Raises OSError if the node has closed the connection.
         """
         node = self._nodes.setdefault(attempt.node_id, NodeState(attempt.node_id))
+        if attempt.node_id not in self._addresses:
+            self._unlisted.add(attempt.node_id)
         connection = NodeConnection(self, node, node.generation)
         connection.take_over_stream(state, attempt, listener)
-        node.busy.add(connection)
+        self._set_busy(connection)
         self._adopted.add(connection)
         try:
             attach(self._reactor, descriptor, connection)
@@ -297,7 +306,7 @@
             connection.abort()
             self.finish(request, AttemptResult.NO_CONNECTION)
             return
-        node.busy.add(connection)
+        self._set_busy(connection)
         host = f"{address.host}:{address.port}"
         if request.upload is not None:
             request.upload.start(connection, request, host)
@@ -306,6 +315,10 @@
         else:
             connection.start(request, self._message(request, request.attempt, host))
 
+    def _set_busy(self, connection: NodeConnection) -> None:
+        connection.node.busy.add(connection)
+        self._table.add_busy(connection)
+
     def _message(self, request: NodeRequest, attempt: Attempt, host: str) -> bytes:
         """Report the attempt as started and return its complete message."""
         forwarded: ForwardedRequest = attempt.payload
@@ -334,6 +347,7 @@
             lambda: NodeConnection(self, node, generation),
         )
         node.dials.add(dialled)
+        self._table.dials += 1
         dialled.addCallbacks(self._dialled, self._dial_failed, (node, dialled), {}, (node, dialled))
         dialled.addErrback(self._dial_raised)
 
@@ -346,7 +360,7 @@
         return dials + node.usable_by(self.clock.now_us() + SHORT_REST_US) <= pending
 
     def _dialled(self, connection: NodeConnection, node: NodeState, dialled: Deferred[Any]) -> None:
-        node.dials.discard(dialled)
+        self._dial_ended(node, dialled)
         if connection.lost:
             self._dial_unsuccessful(node)
         elif connection.generation != node.generation or self._closing:
@@ -355,9 +369,13 @@
             self._add_idle(connection, self.clock.now_us(), 0)
 
     def _dial_failed(self, failure: Failure, node: NodeState, dialled: Deferred[Any]) -> None:
-        node.dials.discard(dialled)
+        self._dial_ended(node, dialled)
         self._dial_unsuccessful(node)
 
+    def _dial_ended(self, node: NodeState, dialled: Deferred[Any]) -> None:
+        node.dials.discard(dialled)
+        self._table.dials -= 1
+
     def _dial_unsuccessful(self, node: NodeState) -> None:
         """End the oldest pending request if no dial or idle connection is left for it."""
         while node.pending and node.pending[0].obsolete:
@@ -371,10 +389,10 @@
 
     def _close_longest_idle(self) -> bool:
         """Close the longest idle connection of any node; return False if none is idle."""
-        idle = [connection for node in self._nodes.values() for connection in node.idle]
-        if not idle:
+        longest_idle = self._table.longest_idle
+        if longest_idle is None:
             return False
-        min(idle, key=lambda connection: connection.idle_since_us).abort()
+        longest_idle.abort()
         return True
 
     # ---- connections ----
@@ -393,12 +411,14 @@
         connection.idle_since_us = now_us
         connection.usable_at_us = now_us + rest_us
         connection.node.idle.append(connection)
+        self._table.add_idle(connection)
         self._start_pending(connection.node)
 
     def connection_ended(self, connection: NodeConnection) -> None:
         """Forget a closed connection; pending requests may need a new one."""
         node = connection.node
         self._adopted.discard(connection)
+        self._table.remove(connection)
         node.busy.discard(connection)
         if connection in node.idle:
             node.idle.remove(connection)
@@ -421,18 +441,27 @@
         """Close connections idle for too long, end stalled answers and forget removed nodes."""
         now_us = self.clock.now_us()
         self.idle_times.decay()
-        for node_id, node in list(self._nodes.items()):
-            for connection in [busy for busy in node.busy if busy.stalled(now_us)]:
-                connection.end_stalled()
-            for connection in list(node.idle):
-                if now_us - connection.idle_since_us >= self._idle_us:
-                    connection.abort()
-            if node_id not in self._addresses and not node.connections and not node.pending:
-                del self._nodes[node_id]
+        for connection in [busy for busy in self._table.busy if busy.stalled(now_us)]:
+            connection.end_stalled()
+        while (idle := self._table.longest_idle) is not None and self._is_idle_too_long(idle, now_us):
+            idle.abort()
+        for node_id in list(self._unlisted):
+            self._forget_unlisted(node_id)
+
+    def _is_idle_too_long(self, connection: NodeConnection, now_us: int) -> bool:
+        return now_us - connection.idle_since_us >= self._idle_us
+
+    def _forget_unlisted(self, node_id: NodeId) -> None:
+        """Forget a removed node once it has no connections left, or that it was removed if it is back."""
+        node = self._nodes[node_id]
+        if node_id in self._addresses:
+            self._unlisted.discard(node_id)
+        elif not node.connections and not node.pending:
+            self._unlisted.discard(node_id)
+            del self._nodes[node_id]
 
     def close(self) -> None:
         """Stop dialling and close idle connections; requests in flight may finish."""
         self._closing = True
-        for node in self._nodes.values():
-            for connection in list(node.idle):
-                connection.abort()
+        for connection in self._table.idle:
+            connection.abort()
