Dial without the endpoint's wrappers around the connection and its factory

Cause: with more servers than connections each request needs a new connection, and Twisted's endpoint puts a protocol between transport and connection, which every later read passes, and adapts interfaces for each. Change: a ClientFactory of our own, whose Deferred is called back when the connection is made.

--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -12,8 +12,9 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.error import ConnectingCancelledError
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
+from twisted.python.failure import Failure
 
 from .core.ports import Clock
 
@@ -29,6 +30,15 @@
 
     lost = False
     last_received_us = 0  # when the latest bytes arrived, in subclasses that record it
+    dialled: Deferred[Any] | None = None  # of ``dial``, until the connection is made
+
+    def makeConnection(self, transport: Any) -> None:
+        """Twisted: the connection is made."""
+        protocol: Any = super()
+        protocol.makeConnection(transport)
+        dialled, self.dialled = self.dialled, None
+        if dialled is not None:
+            dialled.callback(self)
 
     @property
     def link(self) -> Any:
@@ -65,6 +75,35 @@
         return self._build()
 
 
+class _DialFactory(ClientFactory):
+    """The factory of one dial; unlike an endpoint's, it puts nothing between transport and connection."""
+
+    noisy = False
+    connector: Any = None
+
+    def __init__(self, build: Callable[[], Connection]) -> None:
+        self._build = build
+        self.dialled: Deferred[Any] = Deferred(self._cancel)
+
+    def _cancel(self, dialled: Deferred[Any]) -> None:
+        cancelled: Any = ConnectingCancelledError
+        dialled.errback(cancelled(self.connector.getDestination()))
+        self.connector.stopConnecting()
+
+    def buildProtocol(self, addr: Any) -> Connection | None:
+        try:
+            connection = self._build()
+        except Exception:
+            self.dialled.errback()
+            return None
+        connection.dialled = self.dialled
+        return connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        if not self.dialled.called:
+            self.dialled.errback(reason)
+
+
 def available_descriptors(configured: int) -> int:
     """The number of descriptors of this process: as configured, but at most the system's limit."""
     system, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -220,7 +259,7 @@
 
     Cancelling the Deferred aborts the dial.
     """
-    endpoint = TCP4ClientEndpoint(reactor, *address, timeout=timeout_s)
-    factory: Any = _Factory(build)
-    found: Deferred[Any] = endpoint.connect(factory)
-    return found
+    factory: Any = _DialFactory(build)
+    factory.connector = reactor.connectTCP(*address, factory, timeout=timeout_s)
+    dialled: Deferred[Any] = factory.dialled
+    return dialled
