Let control periods pass at servers that are away, and close shards by their own tickets

Cause: each control period looked at every shard in recovery, also at those that are away and nobody asks for, and each shard that had recovered was closed by looking at the tickets of all, up to 8,192. Change: shards that are down without tickets or requests are dormant until something happens to them; tickets are kept by shard.

--- a/gaugesail/policy/gateway.py
+++ b/gaugesail/policy/gateway.py
@@ -270,7 +270,7 @@
         state = self.state
         self._set_timer(CONTROL_PERIOD_US, Timer.CONTROL_PERIOD)
         shards = self.node_table.shards
-        nodes = {number: shards[number].node for number in self.recovery.shards if number in shards}
+        nodes = {number: shards[number].node for number in self.recovery.awake if number in shards}
         state.actions += self.recovery.end_control_period(state.now, nodes, state.process_count)
         for shard in shards.active[:]:
             if self._congestion_windows.end_period(shard):
--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -60,6 +60,8 @@
         self.tickets = RetryTickets(rng.getrandbits(64))
         self.retry_after = RetryAfterPolicy(rng)
         self.shards: dict[int, ShardRecovery] = {}
+        self.awake: dict[int, int] = {}  # those that are not dormant, with the number of their opening
+        self._opened = 0
         self._capacity = ShardCapacity(settings, slow_start)
         self._period_ended_at = 0
         self.rejections: Counter[str] = Counter()  # by counter name, since the start
@@ -81,7 +83,7 @@
 
     def node_removed(self, now: int, shard: int, reason: str) -> None:
         """Record that the endpoint list, or an operator, has removed the node of a shard."""
-        recovery = self.shards.get(shard)
+        recovery = self._attend(shard)
         if recovery is None:
             if self._enabled:
                 self._open(now, shard, ShardPhase.DOWN, reason)
@@ -90,7 +92,7 @@
 
     def node_ready(self, now: int, node: NodeRecord) -> None:
         """Record that a shard has a ready node: the previous one, another one, or one that restarted."""
-        recovery = self.shards.get(node.shard)
+        recovery = self._attend(node.shard)
         if recovery is None:
             return
         health = recovery.health
@@ -118,7 +120,7 @@
             return self._attempt_served(now, request)
         points = FAILURE_POINTS.get(result, 0)
         if points and self._enabled and not excused:
-            recovery = self.shards.get(request.shard)
+            recovery = self._attend(request.shard)
             if recovery is None:
                 recovery = self._open(now, request.shard, ShardPhase.SERVING, "an attempt failed")
             if recovery.health.record_failure(now, points, self._rng):
@@ -127,7 +129,7 @@
 
     def _attempt_served(self, now: int, request: PendingRequest) -> bool:
         self._capacity.record_served(request.shard, request.units)
-        recovery = self.shards.get(request.shard)
+        recovery = self._attend(request.shard)
         if recovery is None:
             return False
         self._leave_queue(self.tickets.drop(request.fingerprint))
@@ -140,8 +142,24 @@
     def _open(self, now: int, shard: int, phase: ShardPhase, reason: str) -> ShardRecovery:
         recovery = ShardRecovery(ShardHealth(phase, now, reason), RecoveryQueue(shard, now))
         self.shards[shard] = recovery
+        self._opened += 1
+        self.awake[shard] = self._opened
+        recovery.opened = self._opened
         return recovery
 
+    def _attend(self, shard: int) -> ShardRecovery | None:
+        """Return a shard in recovery to which something happens, or None if it is not in recovery."""
+        recovery = self.shards.get(shard)
+        if recovery is not None and shard not in self.awake:
+            self.awake[shard] = recovery.opened
+            recovery.queue.skip_to(self._period_ended_at)
+        return recovery
+
+    def _attended(self) -> list[tuple[int, ShardRecovery]]:
+        """Return the shards that are not dormant, in the order in which their recovery was opened."""
+        numbers = sorted(self.awake, key=self.awake.__getitem__)
+        return [(number, self.shards[number]) for number in numbers]
+
     # ---- what may be sent ----
 
     def is_contended(self, shard: int) -> bool:
@@ -185,7 +203,7 @@
 
     def update_capacity(self, now: int, shard: int, node: NodeRecord | None, process_count: int) -> None:
         """Advance a shard's queue to ``now`` and update the capacity that it has from its node."""
-        recovery = self.shards.get(shard)
+        recovery = self._attend(shard)
         if recovery is None:
             return
         recovery.queue.advance(now)
@@ -201,7 +219,7 @@
             return
         request.fingerprint = self.tickets.fingerprint(received, request.class_position)
         ticket = self.tickets.find(request.fingerprint)
-        recovery = self.shards.get(request.shard)
+        recovery = self._attend(request.shard)
         if recovery is None:
             return
         marked = self._settings.clients_mark_retries
@@ -235,7 +253,7 @@
         self.count_rejection(reason, _state_of(node))
         if not self._enabled or not self.retry_after.can_be_spread:
             return self.retry_after.longest_us
-        recovery = self.shards.get(request.shard)
+        recovery = self._attend(request.shard)
         if recovery is None or request.any_shard or recovery.health.phase is ShardPhase.SERVING:
             return self.retry_after.for_backlog(now, backlog_us)
         if recovery.storm is not None:
@@ -255,7 +273,7 @@
 
     def client_disconnected(self, now: int, request: PendingRequest) -> None:
         """Record that a client disconnected before its answer; it may retry at any time."""
-        recovery = self.shards.get(request.shard)
+        recovery = self._attend(request.shard)
         if recovery is None or request.any_shard or self.tickets.find(request.fingerprint) is not None:
             return
         ticket = self._new_ticket(recovery.queue, now, request, None)
@@ -297,7 +315,7 @@
         self._capacity.end_period(span_s)
         self._drop_lost_tickets(now)
         notices: list[WriteLog] = []
-        for shard, recovery in list(self.shards.items()):
+        for shard, recovery in self._attended():
             node = nodes.get(shard)
             self.update_capacity(now, shard, node, process_count)
             recovery.queue.end_period(span_s)
@@ -305,6 +323,8 @@
             notices += recovery.update_storm(now, self._capacity.served_per_s(shard))
             if recovery.is_over(now):
                 self._close(shard)
+            elif recovery.is_dormant:
+                del self.awake[shard]
         return notices
 
     def _drop_lost_tickets(self, now: int) -> None:
@@ -323,9 +343,9 @@
         health.decay_trial_wait(now)
 
     def _close(self, shard: int) -> None:
-        for ticket in [ticket for ticket in self.tickets if ticket.shard == shard]:
-            self.tickets.drop(ticket.fingerprint)
+        self.tickets.drop_shard(shard)
         del self.shards[shard]
+        self.awake.pop(shard, None)
 
 
 def _state_of(node: NodeRecord | None) -> NodeState:
--- a/gaugesail/policy/recovery_queue.py
+++ b/gaugesail/policy/recovery_queue.py
@@ -61,6 +61,11 @@
         """Whether so many clients may retry that every gateway has more to send than its share."""
         return self.ticket_count >= LONG_QUEUE_TICKETS
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether it has no tickets and no requests lately, and nothing may be sent."""
+        return not (self.ticket_count or self.capacity_per_s or self.new_per_s or self.new_units)
+
     @property
     def retry_rate(self) -> float:
         """Units per second for retries: the capacity less what new requests take."""
@@ -78,6 +83,10 @@
         if self.ticket_count and self.due_units <= DUE_BACKLOG_S * self.capacity_per_s:
             self.progress += span_s * self.retry_rate / self._weight
 
+    def skip_to(self, now: int) -> None:
+        """Pass the time up to ``now``, in which it was unused."""
+        self.advanced_at = max(self.advanced_at, now)
+
     def end_period(self, span_s: float) -> None:
         """End a control period of ``span_s`` seconds."""
         self.new_per_s += NEW_RATE_SMOOTHING * (self.new_units / span_s - self.new_per_s)
--- a/gaugesail/policy/retry_tickets.py
+++ b/gaugesail/policy/retry_tickets.py
@@ -40,6 +40,7 @@
         self._seed = seed & 0xFFFF_FFFF_FFFF_FFFF
         self.max_tickets = max_tickets
         self._tickets: dict[int, RetryTicket] = {}
+        self._by_shard: dict[int, dict[int, None]] = {}  # the fingerprints of each shard's tickets
 
     def __len__(self) -> int:
         return len(self._tickets)
@@ -58,15 +59,27 @@
 
     def keep(self, ticket: RetryTicket) -> RetryTicket | None:
         """Store the ticket of a request that was just rejected; return the one dropped for it, if any."""
-        self._tickets.pop(ticket.fingerprint, None)
+        self.drop(ticket.fingerprint)
         self._tickets[ticket.fingerprint] = ticket
+        self._by_shard.setdefault(ticket.shard, {})[ticket.fingerprint] = None
         if len(self._tickets) <= self.max_tickets:
             return None
         return self.drop(next(iter(self._tickets)))
 
     def drop(self, fingerprint: int) -> RetryTicket | None:
         """Remove and return the ticket with a fingerprint, or None."""
-        return self._tickets.pop(fingerprint, None)
+        ticket = self._tickets.pop(fingerprint, None)
+        if ticket is not None:
+            fingerprints = self._by_shard[ticket.shard]
+            del fingerprints[fingerprint]
+            if not fingerprints:
+                del self._by_shard[ticket.shard]
+        return ticket
+
+    def drop_shard(self, shard: int) -> None:
+        """Remove the tickets of a shard."""
+        for fingerprint in list(self._by_shard.get(shard, ())):
+            self.drop(fingerprint)
 
     def pop_overdue(self, before: int) -> RetryTicket | None:
         """Remove and return the oldest ticket if its client should have retried before ``before``."""
--- a/gaugesail/policy/shard_recovery.py
+++ b/gaugesail/policy/shard_recovery.py
@@ -23,6 +23,13 @@
     health: ShardHealth
     queue: RecoveryQueue
     storm: RetryStorm | None = None
+    opened: int = 0  # its number, in the order of openings
+
+    @property
+    def is_dormant(self) -> bool:
+        """Whether the shard is down and nobody asks for it, so that a control period only passes."""
+        is_down = self.health.phase is ShardPhase.DOWN and self.storm is None
+        return is_down and self.queue.is_unused
 
     def enter(self, phase: ShardPhase, now: int, reason: str) -> None:
         """Advance the queue to ``now``, then change the phase of the shard."""
--- a/tests/policy/test_steps_by_list_size.py
+++ b/tests/policy/test_steps_by_list_size.py
@@ -19,6 +19,7 @@
     TimerFired,
 )
 from gaugesail.policy.gateway import Gateway
+from gaugesail.policy.retry_tickets import RetryTicket, RetryTickets
 from gaugesail.policy.settings import Plan, RequestClass, Settings
 from gaugesail.policy.timers import Timer
 
@@ -159,3 +160,27 @@
         if max(found.values()) > FACTOR * usual + PLUS_STEPS:
             problems[doing.__name__] = usual, found
     assert not problems
+
+
+def test_a_shard_that_has_recovered_is_closed_without_looking_at_the_tickets_of_others() -> None:
+    """Guards against a stall as many shards recover at once while many clients hold tickets."""
+    found = []
+    for others in (8, 4_000):
+        tickets = RetryTickets(1)
+        for number in range(others):
+            shard = 1 if number < 4 else 2
+            tickets.keep(RetryTicket(number, shard, None, 1.0, 0.0, NOW_US, 0, NOW_US))
+        found.append(StepCounter().count(lambda tickets=tickets: tickets.drop_shard(1)))  # type: ignore[misc]
+        assert len(tickets) == others - 4
+    assert found[0] == found[1]
+
+
+def test_a_control_period_passes_at_servers_that_are_away_and_not_asked_for() -> None:
+    found = []
+    for away in (8, 800):
+        made = ListedGateway(1_000, USUAL)
+        for shard in range(USUAL, USUAL + away):
+            made.change(made.endpoint(shard, EndpointState.DRAINING))
+        made.pass_time(4 * CONTROL_PERIOD_US)
+        found.append(StepCounter().count(lambda made=made: made.pass_time(CONTROL_PERIOD_US)))  # type: ignore[misc]
+    assert found[1] <= FACTOR * found[0] + PLUS_STEPS, found
