Cut off no answer for a rest of its node, unless that has gone or its place is needed

Cause: a limit of our own on the rests of an answer that is passed on. Servers share their capacity, so with many more of them each is slower and rests for longer. Change: such an answer ends with its client, its node's connection or its process. The gateway ends one that has rested for 5 s, and 2 s beyond its time, only if the endpoint list shows that the node's process has gone, or if a connection to a node or a client's place is needed; the longest rest goes first, and the log says why. PeerSocket has no Nagle's algorithm: data was said to have arrived when sent, which a delayed ACK could break.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -120,6 +120,10 @@
             self.engine.counts["stream_aborted_at_shutdown"] += 1
             client.link.abortConnection()
 
+    def free_places(self) -> None:
+        """End answers that have rested for long."""
+        self.transport.end_longest_rests(self.front.evicted_places)
+
     def hand_over_answers(self) -> None:
         """Hand streamed answers over to the successor, as fast as it takes them."""
         for client in self.front.streams:
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -97,6 +97,11 @@
         """Number of further connections that may be accepted, overflow included."""
         return self._max_with_overflow - len(self._open)
 
+    @property
+    def evicted_places(self) -> int:
+        """The most places that are freed at once."""
+        return max(1, self._max_connections // EVICTED_PLACES_DIVISOR)
+
     @property
     def over_limit(self) -> bool:
         """Whether there are more connections than the limit without overflow."""
@@ -229,7 +234,7 @@
         arriving = [connection for connection in self._open if connection.arriving]
         costly = [connection for connection in self._open if connection.is_costly]
         to_evict = dict.fromkeys(stalled_longest_first(arriving, now_us) + costly)
-        for connection in list(to_evict)[: max(1, self._max_connections // EVICTED_PLACES_DIVISOR)]:
+        for connection in list(to_evict)[: self.evicted_places]:
             self._evict(connection)
 
     def end(self) -> None:
--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -18,13 +18,14 @@
 from .node_request import NodeRequest
 from .node_state import NodeState
 from .parser import Parser
+from .stream_end import StreamEnd
 from .stream_handover import NodeStreamState
 
 MAX_INTERIM_ANSWERS = 8  # 1xx answers before the final one
 ERROR_BODY_STALL_US = 500_000  # longest gap between bytes of an answer whose status alone is needed
-# A streamed answer whose client reads has stalled if it rests for so long,
-# and so long after its request's time.
-STREAM_STALL_US = 5_000_000
+# A streamed answer may be given up if it rests for so long, and so long after its request's time, and only
+# where its node has gone or others need its place.
+LONG_REST_US = 5_000_000
 REST_AFTER_TIME_US = 2_000_000
 STALE_US = 20_000  # a reset sooner than this after the request: the node had closed the idle connection
 KEPT_FIELDS = ("not-started",)  # of an answer, while its body arrives
@@ -317,26 +318,33 @@
         """How long ago the latest byte of the answer arrived, in microseconds."""
         return now_us - self._last_byte_us
 
-    def stalled(self, now_us: int) -> bool:
-        """Whether an answer has started and then stopped for longer than the limit.
+    def rests_long(self, now_us: int) -> bool:
+        """Whether the node has written nothing of a streamed answer for long, though its client reads."""
+        if self._request is None or self._sink is None or self._paused:
+            return False
+        deadline_us = self.attempt.deadline_us if self.attempt is not None else 0
+        return now_us > max(deadline_us + REST_AFTER_TIME_US, self._last_byte_us + LONG_REST_US)
 
-        An answer that is to be passed on whole has the time of its request (``Attempts.deadline_reached``).
-        """
-        if self._request is None or self._paused or not self._last_byte_us:
+    @property
+    def node_has_gone(self) -> bool:
+        """Whether the process at the other end has gone, by the endpoint list."""
+        return self.node.is_removed or self.generation < self.node.gone_generation
+
+    def give_up_stream(self, why: StreamEnd) -> None:
+        """Break a streamed answer off; its client's connection is reset."""
+        self._pool.stream_given_up(self, why)
+        self._end_with(AttemptResult.ERROR)
+
+    def error_body_stalled(self, now_us: int) -> bool:
+        """Whether the rest of an answer of which only the status is needed is late."""
+        if self._request is None or self._head is None or self._head.status == 200:
             return False
-        if self._sink is not None:
-            deadline_us = self.attempt.deadline_us if self.attempt is not None else 0
-            return now_us > max(deadline_us + REST_AFTER_TIME_US, self._last_byte_us + STREAM_STALL_US)
-        is_error = self._head is not None and self._head.status != 200
-        return is_error and now_us - self._last_byte_us > ERROR_BODY_STALL_US
+        return not self._paused and now_us - self._last_byte_us > ERROR_BODY_STALL_US
 
-    def end_stalled(self) -> None:
-        """End an attempt whose answer has stalled."""
-        head = self._head
-        has_status = head is not None and self._sink is None
-        if self._sink is not None:
-            self._pool.stream_given_up(self, "stalled")
-        self._end_with(result_of(head) if head is not None and has_status else AttemptResult.ERROR)
+    def end_by_status(self) -> None:
+        """End an attempt by the status of its answer, without the rest of it."""
+        assert self._head is not None
+        self._end_with(result_of(self._head))
 
     def describe_answer(self) -> str:
         """Describe what has arrived of the answer, for the log."""
--- a/gaugesail/http/node_owner.py
+++ b/gaugesail/http/node_owner.py
@@ -10,6 +10,7 @@
 from ..core.ports import Clock
 from .idle_times import IdleTimes
 from .node_request import NodeRequest
+from .stream_end import StreamEnd
 
 if TYPE_CHECKING:
     from .node_connection import NodeConnection
@@ -46,7 +47,7 @@
         """The connection has ended; called at least once for each connection."""
         ...
 
-    def stream_given_up(self, connection: NodeConnection, why: str) -> None:
+    def stream_given_up(self, connection: NodeConnection, why: StreamEnd) -> None:
         """A streamed answer is about to be broken off by the gateway."""
         ...
 
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -27,6 +27,7 @@
 from .node_state import NodeAddress, NodeState
 from .settle_time import SHORT_REST_US
 from .staged_upload import StagedUpload
+from .stream_end import StreamEnd
 from .stream_handover import NodeStreamState
 
 IDLE_SHARE = 0.6  # of the node's idle timeout: a request written as the node closes would be reset
@@ -109,11 +110,17 @@
         )
         if not address.ready or changed:
             self._end_unstarted(node_id)
+        node = self._nodes.get(node_id)
+        if node is not None:
+            node.is_removed = False
+            if changed:
+                node.gone_generation = node.generation
 
     def _remove_address(self, node_id: NodeId) -> None:
         self._end_unstarted(node_id)
         self._addresses.pop(node_id, None)
         if node_id in self._nodes:
+            self._nodes[node_id].is_removed = True
             self._unlisted.add(node_id)
 
     def set_maintenance(self, node_id: NodeId, on: bool) -> None:
@@ -239,6 +246,7 @@
         """
         node = self._nodes.setdefault(attempt.node_id, NodeState(attempt.node_id))
         if attempt.node_id not in self._addresses:
+            node.is_removed = True
             self._unlisted.add(attempt.node_id)
         connection = NodeConnection(self, node, node.generation)
         connection.take_over_stream(state, attempt, listener)
@@ -335,7 +343,7 @@
         if address is None or not self._needs_dial(node):
             return
         most = self._max_connections + len(self._adopted)
-        if self.connections >= most and not self._close_longest_idle():
+        if self.connections >= most and not (self._close_longest_idle() or self.end_longest_rests(1)):
             if not node.connections:  # none could become free for it
                 self.finish(node.pending.popleft(), AttemptResult.NO_CONNECTION)
             return
@@ -425,7 +433,19 @@
         if node.pending and node.wakeup is None:
             node.wakeup = self.clock.call_later(0, lambda: self._wake(node))
 
-    def stream_given_up(self, connection: NodeConnection, why: str) -> None:
+    def end_longest_rests(self, count: int) -> int:
+        """Break off up to ``count`` answers that rest for long, as others need their places; return how many.
+
+        Those go first whose node has rested for longest.
+        """
+        now_us = self.clock.now_us()
+        resting = [connection for connection in self._table.busy if connection.rests_long(now_us)]
+        resting.sort(key=lambda connection: connection.rest_us(now_us), reverse=True)
+        for connection in resting[:count]:
+            connection.give_up_stream(StreamEnd.PLACE_NEEDED)
+        return min(count, len(resting))
+
+    def stream_given_up(self, connection: NodeConnection, why: StreamEnd) -> None:
         """Log a streamed answer that is about to be broken off by the gateway."""
         attempt = connection.attempt
         if attempt is not None:
@@ -433,7 +453,7 @@
                 "stream_given_up",
                 request=attempt.client_request_id,
                 node=attempt.node_id.decode(errors="replace"),
-                why=why,
+                why=why.value,
                 answer=connection.describe_answer(),
             )
 
@@ -441,8 +461,11 @@
         """Close connections idle for too long, end stalled answers and forget removed nodes."""
         now_us = self.clock.now_us()
         self.idle_times.decay()
-        for connection in [busy for busy in self._table.busy if busy.stalled(now_us)]:
-            connection.end_stalled()
+        for connection in self._table.busy:
+            if connection.error_body_stalled(now_us):
+                connection.end_by_status()
+            elif connection.node_has_gone and connection.rests_long(now_us):
+                connection.give_up_stream(StreamEnd.NODE_GONE)
         while (idle := self._table.longest_idle) is not None and self._is_idle_too_long(idle, now_us):
             idle.abort()
         for node_id in list(self._unlisted):
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -266,6 +266,9 @@
             self.hand_over_answers()
         self._shutdown.successor_changed()
 
+    def free_places(self) -> None:
+        """Free places of clients, as others wait for one."""
+
     def hand_over_answers(self) -> None:
         """Hand over to the successor the answers that would outlast this process."""
 
@@ -385,6 +388,8 @@
         self.front.sweep()
         self.transport.sweep()
         self.operations.sweep()
+        if self.front.held:
+            self.free_places()
         if self._management is not None:
             self._management.sweep()
         if self.replaced:
--- a/tests/support/live_head.py
+++ b/tests/support/live_head.py
@@ -38,6 +38,7 @@
         self.text = b""
         self.ended = self.was_reset = False
         sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         rig.connections.append(self)
 
     def send(self, data: bytes) -> None:
