Give the only attempt of a large request all of its time

What callers saw: a large request of a class that may be repeated was refused at half of its time though its node answered in the second half. Cause: an attempt is given up at half of the time left so that another can follow; the body of a request that was written while it came is not kept, so none can. Change: such a request counts as on its last attempt.

--- a/gaugesail/policy/retry_policy.py
+++ b/gaugesail/policy/retry_policy.py
@@ -67,7 +67,8 @@
         :param hang_us: after which the node hangs; an attempt that has less time is no sign of that.
         """
         idempotent = request.request_class.idempotency is Idempotency.IDEMPOTENT
-        is_last = request.attempts + 1 >= request.max_attempts
+        # The body of a request that was written while it came is not kept for another attempt.
+        is_last = request.attempts + 1 >= request.max_attempts or bool(request.start_before_us)
         half_us = (request.answer_by - now) // 2
         if not idempotent or is_last or request.timed_out or half_us < hang_us:
             return 0
