--- a/gaugesail/cli.py
+++ b/gaugesail/cli.py
@@ -52,7 +52,8 @@
     "budgets": "gaugesail.measure.budgets:command", "decisions": "gaugesail.measure.decision_digest:command",
     "fleet-cost": "gaugesail.measure.fleet_cost:command",
     "ramp": "gaugesail.measure.ramp:command",
-    "server-count": "gaugesail.measure.server_count:command", "storm": "gaugesail.measure.storm:command",
+    "server-count": "gaugesail.measure.server_count:command",
+    "starved": "gaugesail.measure.starved:command", "storm": "gaugesail.measure.storm:command",
 })  # fmt: skip
 def measure() -> None:
     """Measure the gateway, in virtual time or against a baseline in the same run."""
