Give the answers that are due before more of many bodies is read

What callers saw: with many uploads at a process that lacks processor time, answers came after their time. Cause: one pass over the sockets reads a part of every body before any timer runs; with 120 clients at 0.3 of a core a pass takes longer than the times of short requests. Change: once the bodies of a pass have taken 10 ms, further bodies wait for their turn in the next, behind the timers; heads of requests are read as before.

--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -83,6 +83,11 @@
         chunks = self.input.parser.chunks_read - self._chunks_before
         return chunks > max(FULL_CREDIT, self.body_bytes // BYTES_PER_WORK)
 
+    @property
+    def receives_body(self) -> bool:
+        """Whether the body of a request is arriving, the head of which was read."""
+        return self.head is not None
+
     @property
     def awaits_answer(self) -> bool:
         """Whether an answer is pending, for which the next request has to wait."""
--- a/gaugesail/iscsi/target.py
+++ b/gaugesail/iscsi/target.py
@@ -147,6 +147,11 @@
         """Twisted: the connection has ended."""
         self._output.emptied(self)
 
+    @property
+    def receives_body(self) -> bool:
+        """The data of a command comes with its PDUs, each of which is small."""
+        return False
+
     def wait_for_turn(self) -> None:
         """Read nothing until other clients have been served."""
         self._waits_for_turn = True
--- a/gaugesail/read_turns.py
+++ b/gaugesail/read_turns.py
@@ -20,6 +20,7 @@
 FULL_CREDIT = 1_000
 CREDIT_PER_S = 2_000
 ITERATION_WORK = 2_000  # beyond the credits
+LONG_ITERATION_US = 10_000  # after which bodies wait, so that due answers are given before more is read
 
 
 @dataclass(slots=True)
@@ -36,6 +37,11 @@
 
     credit: Credit
 
+    @property
+    def receives_body(self) -> bool:
+        """Whether the body of a request is arriving, the head of which was read."""
+        ...
+
     def wait_for_turn(self) -> None:
         """Read nothing until ``take_turn``."""
         ...
@@ -53,16 +59,29 @@
         self._waiting: OrderedDict[TurnTaker, None] = OrderedDict()
         self._left = ITERATION_WORK
         self._iteration_is_due = False
+        self._began_us: int | None = None  # when the first body of this iteration was read
 
     def has_turn(self, client: TurnTaker) -> bool:
         """Whether a client may work now; if not, it waits for its turn."""
         if client in self._waiting:
             return False
+        if client.receives_body and self._iteration_is_long:
+            self._wait(client)
+            return False
         if self._left > 0 or client.credit.units > 0 or self._refill(client.credit) > 0:
             return True
         self._wait(client)
         return False
 
+    @property
+    def _iteration_is_long(self) -> bool:
+        """Whether reading has taken so long in this iteration that timers may be due."""
+        now_us = self._clock.now_us()
+        if self._began_us is None:
+            self._began_us = now_us
+            self._schedule()
+        return now_us - self._began_us > LONG_ITERATION_US
+
     def spend(self, client: TurnTaker, work: int) -> bool:
         """Count work that was done for a client; returns whether it may go on, else it waits for its turn."""
         credit = client.credit
@@ -102,7 +121,8 @@
     def _begin_iteration(self) -> None:
         self._iteration_is_due = False
         self._left = ITERATION_WORK
-        while self._waiting and self._left > 0:
+        self._began_us = self._clock.now_us() if self._waiting else None
+        while self._waiting and self._left > 0 and not self._iteration_is_long:
             client, _ = self._waiting.popitem(last=False)
             # Its next input will cost about as much as the latest.
             self._left -= client.credit.latest_work
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -5,7 +5,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from gaugesail.read_turns import CREDIT_PER_S, FULL_CREDIT, ITERATION_WORK, REQUEST_WORK, Credit, ReadTurns
+from gaugesail.read_turns import (
+    CREDIT_PER_S,
+    FULL_CREDIT,
+    ITERATION_WORK,
+    LONG_ITERATION_US,
+    REQUEST_WORK,
+    Credit,
+    ReadTurns,
+)
 
 
 class Iterations:
@@ -35,6 +43,7 @@
         self._turns, self._work = turns, work
         self.done = 0
         self.waits = False
+        self.receives_body = False
 
     def receive(self) -> None:
         if self._turns.has_turn(self):
@@ -94,3 +103,20 @@
         client.receive()
         clock.run()
         assert not client.waits
+
+
+def test_a_body_waits_for_the_next_iteration_where_this_one_has_taken_long() -> None:
+    """Guards against reading on for long while answers are due, which the timers give."""
+    clock, turns = rig()
+    bodies = [Client(turns, 1) for _ in range(10)]
+    head = Client(turns, 1)
+    for body in bodies:
+        body.receives_body = True
+        body.receive()
+        clock.now += LONG_ITERATION_US // 3
+    head.receive()
+    assert [body.waits for body in bodies] == [False] * 4 + [True] * 6
+    assert not head.waits and head.done == 1
+    clock.run()
+    assert not any(body.waits for body in bodies)
+    assert all(body.done == 1 for body in bodies)
