Let no request wait behind the long rest of an upload that was refused

What callers saw: answers seconds late, with few servers too: an upload was refused early, its client sent the next request on the same connection, and that was read only after megabytes of the refused body. Cause: the refusal kept the connection, whatever was still to come of the body. Change: if more than 64 KiB are still to come, or nobody knows how much, the refusal says Connection: close; the rest is read to its end as before, and then the connection is closed.

--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -329,15 +329,24 @@
             self.last_received_us = self.input.resume(self.link)
 
     def reject_body(self) -> None:
-        """Reject the request that is arriving, and discard the rest of its body."""
+        """Reject the request that is arriving, and discard the rest of its body.
+
+        A request behind a long rest would wait until that is read: the client is told to use another
+        connection.
+        """
         if self._answered_early or self.closing or self.lost:
             return
+        if self.head is not None and self._rest_is_long(self.head):
+            self._keep_alive = False
         self._upload = None
         self._answered_early = True
         self.owner.engine.counts["rejected_uploads"] += 1
         self.answer(503, b"refused", retry_after_us=self.owner.retry_after_us)
         self.resume_reading()
 
+    def _rest_is_long(self, head: Head) -> bool:
+        return head.length is None or head.length - self.body_bytes > MAX_BUFFERED_BODY
+
     def reject_incomplete(self) -> None:
         """Reject a request that is still arriving, as the process is about to end."""
         if self._request_id is None and self.head is not None:
--- a/tests/http/test_late_process.py
+++ b/tests/http/test_late_process.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import pytest
+
 from ..support.live_head import GatewayRig, gateway_rig
 
 TIMEOUT_S = 0.6
@@ -42,3 +44,20 @@
             if waiting.read():
                 answered_at = rig.now
         assert 0 < answered_at <= due_at + 0.1, answered_at - due_at
+
+
+@pytest.mark.parametrize(("sent", "keeps"), [(20_000, False), (150_000, True)])
+def test_no_request_waits_behind_the_long_rest_of_a_refused_one(sent: int, keeps: bool) -> None:
+    """Guards against answers that come late as the rest of a refused upload has to be read first."""
+    with gateway_rig() as rig:
+        client = rig.client()
+        message = put(rig, "a", LARGE)
+        client.send(message[:sent])
+        rig.turn(20)
+        (connection,) = rig.gateway.front._open
+        connection.reject_body()
+        head = client.read_until(b"refused")
+        assert (b"Connection: close" not in head) is keeps
+        client.send(message[sent:])
+        rig.pass_time(0.1)
+        assert client.closed() is not keeps and not client.was_reset
