Let a request's time run while its body is not read

What callers saw: refusals and answers of large requests seconds late from a process that lacks processor time (waits of 2.4 to 3.8 s with times of 0.9 to 1.5 s in the log line upload_refused). Cause: the time of a body was watched only from when more than 64 KiB of it had been read; before that, and for all smaller bodies, a client that had sent everything waited for as long as its bytes stood unread. Change: the timer of uploads, which counts from the last moment in which the client is known to have had nothing more on its way, begins with the head of any request with a body; counter body_out_of_time.

--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -7,6 +7,7 @@
 
 from ..buffers import Body, PoolEmpty
 from ..client_admission import CloseReason
+from ..core.attempts import ANSWER_MARGIN_US
 from ..core.ports import BodySink, BodySource, ClientRequest
 from ..net import Connection, send_now, unread, unsent_output
 from ..read_turns import BYTES_PER_WORK, FULL_CREDIT, REQUEST_WORK, Credit
@@ -22,6 +23,7 @@
 from .held_request_id import HeldRequestId
 from .messages import MAX_BUFFERED_BODY, BadMessage, Data, Head
 from .stream_handover import ClientStreamState
+from .upload_timer import UploadTimer
 
 HEALTH_PATH = "/_health"
 METHODS = ("GET", "PUT")
@@ -40,6 +42,7 @@
         # The engine's; 0: already answered there; None: no answer is pending.
         self._request_id: int | None = None
         self._upload: ClientUpload | None = None  # of a large body
+        self._body_timer: UploadTimer | None = None  # of a body that is buffered so far
         self.stream: AnswerStream | None = None  # a streamed answer
         self.held_id = HeldRequestId(owner.engine.request_ids)
         self._keep_alive = True
@@ -266,6 +269,8 @@
                 raise BadMessage("the method is neither GET nor PUT", 405)
             self._request = self.owner.reader.read(head, Body(self.owner.pool))
             self._request.payload.reserve()
+            if head.length != 0:
+                self._time_body(self._request)
         expects = head.headers.get("expect", "").lower()
         head.headers = {}  # not needed while the body arrives
         if expects not in ("", "100-continue"):
@@ -283,12 +288,33 @@
             self.owner.holders.add(self)
             if self.body_bytes > MAX_BUFFERED_BODY and self.head is not None:
                 # Too large to buffer: write it to its node while it arrives.
+                self._stop_body_timer()
                 self._upload = ClientUpload(self, request, self.head.length)
                 self._upload.begin()
 
+    def _time_body(self, request: ClientRequest) -> None:
+        """Refuse a request whose client may have waited for its time while the body was not read."""
+        self._body_timer = UploadTimer(
+            self.owner.clock,
+            max(0, request.timeout_us - ANSWER_MARGIN_US),
+            self.input.last_byte,
+            lambda: not unread(self.link),
+            self._body_out_of_time,
+        )
+
+    def _body_out_of_time(self) -> None:
+        self.owner.engine.counts["body_out_of_time"] += 1
+        self.reject_body()
+
+    def _stop_body_timer(self) -> None:
+        timer, self._body_timer = self._body_timer, None
+        if timer is not None:
+            timer.stop()
+
     def _request_complete(self) -> None:
         head, request, upload = self.head, self._request, self._upload
         self.head = self._upload = None
+        self._stop_body_timer()
         self.owner.holders.remove(self)
         if head is None:
             return
@@ -408,6 +434,7 @@
     def _release_request(self) -> None:
         request = self._request
         self._request = None
+        self._stop_body_timer()
         if request is not None:
             if not self.output.full:
                 self.owner.holders.remove(self)
--- a/tests/http/test_late_process.py
+++ b/tests/http/test_late_process.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from ..support.live_head import GatewayRig, gateway_rig
+from ..support.live_head import GatewayRig, PeerSocket, gateway_rig
 
 TIMEOUT_S = 0.6
+BODY = b"x" * 50_000
 LARGE = b"x" * 200_000
 
 
@@ -16,6 +17,40 @@
     return rig.request(name, "write", timeout=int(timeout_s * 1000), body=body)
 
 
+def first_answer_s(rig: GatewayRig, client: PeerSocket, most_s: float) -> float:
+    """How long it takes until a client has the first bytes of its answer."""
+    began = rig.now
+    assert rig.until(lambda: bool(client.read()), most_s)
+    return rig.now - began
+
+
+@pytest.mark.parametrize("size", [len(BODY), len(LARGE)])
+def test_a_body_that_is_not_read_is_refused_in_its_time(size: int) -> None:
+    """Guards against a time that runs only from when 64 KiB of a body, or all of it, have been read."""
+    with gateway_rig() as rig:
+        client = rig.client()
+        message = put(rig, "a", b"x" * size)
+        client.send(message[:10_000])
+        rig.turn(5)
+        (connection,) = rig.gateway.front._open
+        connection.wait_for_turn()
+        client.send_available(message[10_000:])
+        assert first_answer_s(rig, client, 5.0) <= TIMEOUT_S + 0.01
+        assert client.text.startswith(b"HTTP/1.1 503 ")
+        assert rig.gateway.engine.counts["body_out_of_time"] == 1
+
+
+def test_a_client_that_writes_a_body_slowly_is_not_refused() -> None:
+    with gateway_rig() as rig:
+        client = rig.client()
+        message = put(rig, "a", BODY)
+        for at in range(0, len(message), 1_000):
+            client.send(message[at : at + 1_000])
+            rig.pass_time(0.04)
+        rig.nodes[0].answer("a")
+        client.read_until(b"\r\n\r\nok")
+
+
 def test_answers_that_are_due_come_before_more_of_many_bodies_is_read() -> None:
     """Guards against a pass over many uploads that takes so long that answers come after their time."""
     with gateway_rig() as rig:
