--- a/gaugesail/measure/server_count_rig.py
+++ b/gaugesail/measure/server_count_rig.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import subprocess
 from collections import deque
 from pathlib import Path
 from typing import Any
@@ -214,11 +215,16 @@
         while self.reactor.seconds() < end:
             self.reactor.iterate(REACTOR_STEP_S)
 
+    @property
+    def gateway(self) -> subprocess.Popen[bytes]:
+        """The gateway's process."""
+        assert self.process.process is not None
+        return self.process.process
+
     @property
     def cpu_s(self) -> float:
         """The processor time that the gateway has used so far, in seconds."""
-        assert self.process.process is not None
-        return cpu_seconds(self.process.process.pid)
+        return cpu_seconds(self.gateway.pid)
 
     @property
     def connections_made(self) -> int:
--- a/gaugesail/measure/starved.py
+++ b/gaugesail/measure/starved.py
@@ -7,50 +7,20 @@
 from __future__ import annotations
 
 import random
-import signal
 import tempfile
-import threading
-import time
 from pathlib import Path
 from typing import Any
 
 import click
 
 from ..core.clock import use_monotonic_time
+from ..rehearsal.starver import Starver
 from .server_count_rig import ServerCountRig
 from .starved_clients import StarvedClient, Tally
 
-PERIOD_S = 0.1
 LAST_ANSWERS_S = 3.0  # that are awaited, without new requests
 
 
-class Starver:
-    """Lets a process run for a share of the time; a context manager."""
-
-    def __init__(self, rig: ServerCountRig, share: float) -> None:
-        self._rig, self._share = rig, share
-        self._ended = False
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def _run(self) -> None:
-        while not self._ended:
-            self._rig.process.signal(signal.SIGSTOP)
-            time.sleep(PERIOD_S * (1 - self._share))
-            self._rig.process.signal(signal.SIGCONT)
-            time.sleep(PERIOD_S * self._share)
-
-    def __enter__(self) -> Starver:
-        if self._share < 1:
-            self._thread.start()
-        return self
-
-    def __exit__(self, *exception: object) -> None:
-        self._ended = True
-        if self._share < 1:
-            self._thread.join()
-        self._rig.process.signal(signal.SIGCONT)
-
-
 def play(reactor: Any, servers: int, clients: int, share: float, seconds: float, seed: int) -> Tally:
     """Let the clients ask for ``seconds`` and return what they saw."""
     tally = Tally()
@@ -64,13 +34,15 @@
                 StarvedClient(reactor, rig.process.listen_port, random.Random(rng.random()), servers, tally)
                 for _ in range(clients)
             ]
-            with Starver(rig, share):
-                for client in asking:
-                    client.start()
-                rig.run(seconds)
-                for client in asking:
-                    client.stopped = True
-                rig.run(LAST_ANSWERS_S)
+            starver = Starver(lambda: [rig.gateway], share)
+            starver.start()
+            for client in asking:
+                client.start()
+            rig.run(seconds)
+            for client in asking:
+                client.stopped = True
+            rig.run(LAST_ANSWERS_S)
+            starver.stop()
         finally:
             rig.close()
     return tally
--- a/gaugesail/rehearsal/soak/command.py
+++ b/gaugesail/rehearsal/soak/command.py
@@ -53,7 +53,7 @@
 @click.command("soak")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seconds", type=click.FloatRange(1, 3600), default=60.0, show_default=True)
-@click.option("--heads", type=click.IntRange(1, 100), default=24, show_default=True)
+@click.option("--heads", "gateways", type=click.IntRange(1, 100), default=24, show_default=True)
 @click.option(
     "--overlap", type=click.IntRange(0, 10), default=3, show_default=True, help="Concurrent faults, at most."
 )
@@ -64,11 +64,16 @@
     show_default=True,
     help="Of writes: large ones.",
 )
+@click.option(
+    "--servers",
+    type=click.IntRange(0, 10_000),
+    default=0,
+    show_default=True,
+    help="Further listed servers; with any, gateways have a part of a core at times.",
+)
 @click.option("--logs", type=click.Path(path_type=Path), help="A folder that keeps the logs of the gateways.")
 @click.option("--json", "as_json", is_flag=True)
-def command(
-    seed: int, seconds: float, heads: int, overlap: int, large_share: float, logs: Path | None, as_json: bool
-) -> None:
+def command(logs: Path | None, as_json: bool, **parameters: Any) -> None:
     """Run many real gateways under overlapping faults, and check the invariants.
 
     Starts gateway processes on loopback with nodes, discovery and clients that misbehave; ends, kills, pauses
@@ -79,7 +84,7 @@
 
     use_monotonic_time(reactor)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
-    plan = SoakPlan(gateways=heads, seconds=seconds, seed=seed, overlap=overlap, large_share=large_share)
+    plan = SoakPlan(**parameters)
     try:
         result = play(reactor, plan, logs)
     except NoCompiler as error:
--- a/gaugesail/rehearsal/soak/discovery.py
+++ b/gaugesail/rehearsal/soak/discovery.py
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self.revision = 1
         self.nodes: dict[str, SoakNode] = {}
+        self.servers: list[dict[str, Any]] = []  # further entries
         self._listeners: list[Callable[[SoakNode], None]] = []
 
     def subscribe(self, changed: Callable[[SoakNode], None]) -> None:
@@ -32,7 +33,8 @@
         return {
             "revision": self.revision,
             "complete": changed_node is None,
-            "members": [listed.endpoint() for listed in nodes],
+            "members": [listed.endpoint() for listed in nodes]
+            + (self.servers if changed_node is None else []),
         }
 
     def update(self, node: SoakNode) -> None:
--- a/gaugesail/rehearsal/soak/hostile_faults.py
+++ b/gaugesail/rehearsal/soak/hostile_faults.py
@@ -1,4 +1,4 @@
-"""Faults of a soak that press a gateway: hostile clients, and rivals for its processor time."""
+"""Faults of a soak that press a gateway: hostile clients, and too little processor time."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from ..hostile_clients import Behaviour, start
+from ..starver import Starver
 from .heads import SoakGateway
 
 HOSTILE_CONNECTIONS = (1, 10, 40)  # with all behaviours at once fewer than a gateway has places
@@ -16,6 +17,7 @@
 HOSTILE_S = (0.5, 4.0)
 BEHAVIOURS_AT_ONCE = 3
 RIVALS = (1, 2)
+STARVED_SHARES = (0.3, 0.5)  # of a core
 BUSY = (sys.executable, "-c", "while True: pass")
 
 
@@ -57,6 +59,13 @@
     return rng.uniform(*HOSTILE_S), end
 
 
+def begin_starving(gateway: SoakGateway, rng: random.Random) -> tuple[float, Callable[[], None]]:
+    """Let the processes of a gateway run for a part of the time only; returns the duration and the end."""
+    starver = Starver(lambda: gateway.running, rng.choice(STARVED_SHARES))
+    starver.start()
+    return rng.uniform(*HOSTILE_S), starver.stop
+
+
 def _bind(process: subprocess.Popen[bytes], cores: set[int]) -> None:
     if process.poll() is None:
         os.sched_setaffinity(process.pid, cores)
--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -33,6 +33,7 @@
 PROCESS_FAULTS = frozenset(
     ("term", "rolling", "replace", "kill", "pause", "failing_calls", "drain", "vanish")
 )
+REMEMBERED_S = 40.0  # a request, with the rests of its answer
 STALL_S = 0.1  # an iteration of the harness that takes longer counts as a pause of all gateways
 
 
@@ -284,7 +285,7 @@
     def sweep(self) -> None:
         """Count overdue requests without an answer as lost."""
         now = self.now()
-        while self._recent and now - self._recent[0].at > 12.0:
+        while self._recent and now - self._recent[0].at > REMEMBERED_S:
             self._open.pop(self._recent.popleft().name, None)
         for request in self._recent:
             paused_s = self.exemptions.paused_time_s(request.gateway, request.at, now)
--- a/gaugesail/rehearsal/soak/long_answers.py
+++ b/gaugesail/rehearsal/soak/long_answers.py
@@ -12,6 +12,8 @@
 FIRST_LUMPS = (0, 10, 9_000, 53_000, 65_535)  # bytes; with none its head comes alone
 REST_SHARES = (0.1, 1.6)  # of the request's time
 LONGEST_REST_S = 2.0
+LONG_REST_SHARE = 0.15  # of rests that do not depend on the request's time
+LONG_RESTS_S = (0.0, 10.0)
 LATE_HEAD_SHARES = (0.5, 0.9)  # of the request's time
 
 
@@ -65,6 +67,8 @@
     size = rng.randint(*LONG_BYTES)
 
     def rest_s() -> float:
+        if rng.random() < LONG_REST_SHARE:
+            return rng.uniform(*LONG_RESTS_S)
         return min(LONGEST_REST_S, due_s * rng.uniform(*REST_SHARES))
 
     match rng.choice(("short", "at_once", "steps", "lumps", "lumps", "late_head")):
--- a/gaugesail/rehearsal/soak/new_request.py
+++ b/gaugesail/rehearsal/soak/new_request.py
@@ -14,6 +14,14 @@
 SHORT_TIMES_S = (0.002, 0.4)
 LONG_ANSWER_SHARE = 0.2  # of reads
 BODY_BYTES = (10, 300, 3000)
+FURTHER_SERVER_SHARE = 0.5  # of requests, where there are any
+
+
+def _draw_shard(rng: random.Random, soak_plan: plan.SoakPlan) -> int:
+    """Draw the shard of a node, to which faults happen, or of one of the further servers."""
+    if soak_plan.servers and rng.random() < FURTHER_SERVER_SHARE:
+        return rng.randrange(soak_plan.nodes, soak_plan.shards)
+    return rng.randrange(soak_plan.nodes)
 
 
 @dataclass(slots=True, frozen=True)
@@ -53,7 +61,7 @@
         f"Request-Class: {request_class.name}\r\nX-Plan: {rng.choice(('basic', 'priority'))}\r\n"
         f"Cookie: block={rng.getrandbits(32):x}\r\nRequest-Timeout-Ms: {round(due_s * 1000)}\r\n"
         f"X-IO: volume={rng.randrange(1, 40):x},units={rng.randint(1, plan.MAX_UNITS)},"
-        f"shard={rng.randrange(soak_plan.nodes)},hosts={min(3, soak_plan.gateways)}\r\n"
+        f"shard={_draw_shard(rng, soak_plan)},hosts={min(3, soak_plan.gateways)}\r\n"
         f"{framing}\r\n\r\n"
     )
     return NewRequest(name, request_class, due_s, head.encode() + body, long_answer, large_body)
--- a/gaugesail/rehearsal/soak/plan.py
+++ b/gaugesail/rehearsal/soak/plan.py
@@ -47,6 +47,7 @@
 
     gateways: int = 24
     nodes: int = 8
+    servers: int = 0  # further entries of the endpoint list, with a shard of their own each
     seconds: float = 60.0
     seed: int = 1
     rate: float = 12.0  # requests a second at each gateway
@@ -54,6 +55,16 @@
     large_share: float = 0.15  # of writes that are large requests
     recovery_s: float = 8.0  # at the end: under load, without new faults
 
+    @property
+    def shards(self) -> int:
+        """The number of shards: one for each node and each further entry of the list."""
+        return self.nodes + self.servers
+
+    @property
+    def starves(self) -> bool:
+        """Whether gateways have a part of a core at times: in runs with many servers."""
+        return self.servers > 0
+
     @property
     def has_crowds(self) -> bool:
         """Whether crowds of idle clients come."""
@@ -73,7 +84,7 @@
     result["domain"] |= {
         "class_writes": [request_class.writes for request_class in REQUEST_CLASSES],
         "cold_bears": INITIAL_CAPACITY_UNITS,
-        "max_units": MAX_UNITS, "slots_total": plan.nodes, "usual_units": MEAN_UNITS,
+        "max_units": MAX_UNITS, "slots_total": plan.shards, "usual_units": MEAN_UNITS,
     }  # fmt: skip
     result["guarantees"] |= {
         "cold_share": INITIAL_CAPACITY_SHARE, "fall_multiple": OVERLOAD_FACTOR,
--- a/gaugesail/rehearsal/soak/run.py
+++ b/gaugesail/rehearsal/soak/run.py
@@ -23,6 +23,7 @@
 REACTOR_STEP_S = 0.002
 SWEEP_INTERVAL_S = 0.1
 NODE_EXIT_DELAY_S = (0.5, 2.0)  # from the start of its drain until a node has ended
+BACKING_LISTENERS = 8
 MAX_LATE_START_SHARE = 0.1  # of all starts may take longer than READY_S
 
 
@@ -50,6 +51,7 @@
         self._nodes_created = 0
         for shard in range(plan.nodes):
             self._new_node(shard)
+        self._backing = self._new_servers()
         library = build(folder)
         ports = free_ports(3 * plan.gateways)
         self.gateways = [
@@ -64,6 +66,7 @@
             self._replace,
             self.judge.exemptions,
             plan.has_crowds,
+            plan.starves,
         )
         self._closed = False
 
@@ -74,6 +77,19 @@
         self.membership.nodes[node.name] = node
         return node
 
+    def _new_servers(self) -> list[SoakNode]:
+        """List the further servers, and return the few listeners that stand in for them."""
+        if not self.plan.servers:
+            return []
+        backing = [
+            SoakNode(self.reactor, f"backing-{number}", -1, self.judge, random.Random(self._rng.random()))
+            for number in range(BACKING_LISTENERS)
+        ]
+        for shard in range(self.plan.nodes, self.plan.shards):
+            entry = backing[shard % len(backing)].endpoint()
+            self.membership.servers.append(entry | {"id": f"server-{shard}", "cell": shard})
+        return backing
+
     def _new_gateway(self, number: int, folder: Path, library: Path, ports: list[int]) -> SoakGateway:
         name = f"h{number}"
         longest_deadline_s = self._rng.choice(LONGEST_DEADLINES_S)
@@ -143,7 +159,7 @@
             processes, hits = summary(self.gateways), sum(gateway.faults.hits for gateway in self.gateways)
             for gateway in self.gateways:
                 gateway.close()
-            for node in self.membership.nodes.values():
+            for node in (*self.membership.nodes.values(), *self._backing):
                 node.close([])
             self._run_until(self.reactor.seconds() + 0.1)
         if processes["starts_late"] > MAX_LATE_START_SHARE * processes["starts"]:
--- a/gaugesail/rehearsal/soak/troubles.py
+++ b/gaugesail/rehearsal/soak/troubles.py
@@ -11,7 +11,7 @@
 from ..faults.shim import DOCUMENTED, SHORT, Call
 from .discovery import GatewayDiscovery
 from .heads import SoakGateway
-from .hostile_faults import begin_hostile_clients, begin_rivals
+from .hostile_faults import begin_hostile_clients, begin_rivals, begin_starving
 from .judge import Exemptions
 from .nodes import Behaviour, SoakNode
 
@@ -50,6 +50,7 @@
     replace: Callable[[SoakNode], None]  # drain it, and start a node for its shard
     exemptions: Exemptions
     has_crowds: bool
+    starves: bool = False
 
     def pick_gateway(self) -> SoakGateway | None:
         """A random gateway that is ready and not under a fault of its process."""
@@ -353,7 +354,13 @@
     return begin_rivals(gateway, context.rng, gateway.running)
 
 
+def _starve(context: FaultContext) -> tuple[float, End] | None:
+    gateway = context.pick_gateway() if context.starves else None
+    return begin_starving(gateway, context.rng) if gateway is not None else None
+
+
 FAULT_KINDS = (
+    FaultKind("starve", 4.0, _starve),
     FaultKind("late_bodies", 2.0, _late_bodies), FaultKind("hostile", 6.0, _hostile),
     FaultKind("rivals", 1.5, _rivals),
     FaultKind("replace", 3.0, _replace_process), FaultKind("crowd", 2.0, _crowd),
