Take the records of a long list out of the garbage collector's passes

Cause: each full pass of the collector looks at all records of listed servers, which come after the start's freeze. Change: after a whole list that has grown by over a quarter they are frozen too.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from gaugesail.policy.events import AttemptResult, EndpointList
+from gaugesail.policy.events import AttemptResult, EndpointList, EndpointListKind
 
 from . import config as configuration
 from .core.clock import ReactorClock
@@ -90,9 +90,14 @@
             self._log,
             settings,
             self.transport.update_addresses,
-            lambda endpoints: self.engine.update_endpoints(endpoints),
+            self._update_endpoints,
         )
 
+    def _update_endpoints(self, endpoints: EndpointList) -> None:
+        self.engine.update_endpoints(endpoints)
+        if endpoints.kind is EndpointListKind.FULL:
+            self.on_whole_list(len(endpoints.endpoints))
+
     def initial_endpoints(self, handed_over: dict[str, Any]) -> EndpointList:
         """The predecessor's endpoint list if it used the same discovery service, else the configured one."""
         # Revisions of different discovery services cannot be compared.
--- a/gaugesail/runner.py
+++ b/gaugesail/runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import signal
 import time
 from collections.abc import Callable
@@ -16,6 +15,7 @@
 from .app import PlatformGateway
 from .core.clock import ReactorClock, boot_ns, use_monotonic_time
 from .core.ports import Logger
+from .long_lived_memory import LongLivedMemory
 from .service import Service
 
 EXIT_BAD_CONFIGURATION = 2
@@ -123,6 +123,8 @@
 
 def _run_until_stopped(reactor: Any, log: Logger, gateway: Service) -> int:
     exit_codes: list[int] = []
+    memory = LongLivedMemory()
+    gateway.on_whole_list = memory.list_received
 
     def cannot_start(failure: Any) -> None:  # for example, the address is in use
         log.error("cannot_start", error=repr(failure.value))
@@ -131,8 +133,7 @@
 
     def start() -> None:
         maybeDeferred(gateway.start).addErrback(cannot_start)
-        gc.collect()
-        gc.freeze()
+        memory.started()
 
     gateway.stopped.addCallback(lambda _: reactor.callLater(0, reactor.stop))
     reactor.callWhenRunning(start)
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -108,6 +108,7 @@
         self._sweeps = 0
         self._counts_report: CountsReport
         self.fleet: FleetMember | None = None
+        self.on_whole_list: Callable[[int], None] = lambda servers: None  # after a whole list was applied
         self.waits_for_list = False  # accept nothing with a cached endpoint list, which may miss drains
 
     # ---- startup ----
