--- a/gaugesail/__main__.py
+++ b/gaugesail/__main__.py
@@ -1,5 +1,6 @@
 """Runs one gateway, configured by the platform's environment or by the operator's file in its arguments."""
 
+import os
 import sys
 
 from .logs import make_logger
@@ -14,4 +15,8 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # The interpreter's teardown takes the longer, the more servers are listed; a SIGKILL may be near.
+    os._exit(code)
--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -126,8 +126,9 @@
             client.link.abortConnection()
 
     def free_places(self) -> None:
-        """End answers that have rested for long."""
-        self.transport.end_longest_rests(self.front.evicted_places)
+        """End the answer that has rested for longest."""
+        if self.front.lacks_places:
+            self.transport.end_longest_rests(1)
 
     def hand_over_answers(self) -> None:
         """Hand streamed answers over to the successor, as fast as it takes them."""
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -268,7 +268,7 @@
         self._shutdown.successor_changed()
 
     def free_places(self) -> None:
-        """Free places of clients, as others wait for one."""
+        """Free places of clients, if others wait for one that nobody else can free."""
 
     def hand_over_answers(self) -> None:
         """Hand over to the successor the answers that would outlast this process."""
@@ -389,8 +389,7 @@
         self.front.sweep()
         self.transport.sweep()
         self.operations.sweep()
-        if self.front.held:
-            self.free_places()
+        self.free_places()
         if self._management is not None:
             self._management.sweep()
         if self.replaced:
