Leave answers that rest their connections for longer, and set memory aside for long lists

Change: no answer goes for a client's place; for a connection to a node one goes only if such answers hold over half of them. The budget sets 5 KiB aside for each server over 200.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -96,7 +96,7 @@
     def _update_endpoints(self, endpoints: EndpointList) -> None:
         self.engine.update_endpoints(endpoints)
         if endpoints.kind is EndpointListKind.FULL:
-            self.on_whole_list(len(endpoints.endpoints))
+            self.whole_list_received(len(endpoints.endpoints))
 
     def initial_endpoints(self, handed_over: dict[str, Any]) -> EndpointList:
         """The predecessor's endpoint list if it used the same discovery service, else the configured one."""
@@ -125,11 +125,6 @@
             self.engine.counts["stream_aborted_at_shutdown"] += 1
             client.link.abortConnection()
 
-    def free_places(self) -> None:
-        """End the answer that has rested for longest."""
-        if self.front.lacks_places:
-            self.transport.end_longest_rests(1)
-
     def hand_over_answers(self) -> None:
         """Hand streamed answers over to the successor, as fast as it takes them."""
         for client in self.front.streams:
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -59,7 +59,6 @@
         self.turns = ReadTurns(clock)
         self.holders = MemoryHolders(pool, clock, self._count_eviction, engine.refuse_latest_waiting)
         self.excess_input = 0
-        self.lacks_places = False  # clients wait for one, and the latest sweep found none to free
 
     def change_settings(self, settings: Settings) -> None:
         """Apply changed settings to the requests received from now on."""
@@ -98,11 +97,6 @@
         """Number of further connections that may be accepted, overflow included."""
         return self._max_with_overflow - len(self._open)
 
-    @property
-    def evicted_places(self) -> int:
-        """The most places that are freed at once."""
-        return max(1, self._max_connections // EVICTED_PLACES_DIVISOR)
-
     @property
     def over_limit(self) -> bool:
         """Whether there are more connections than the limit without overflow."""
@@ -218,28 +212,25 @@
         surplus = sum(not connection.closing for connection in self._open) - self._max_connections
         while surplus > 0 and self._close_one_idle():
             surplus -= 1
-        self.lacks_places = self.held and not self._free_stalled_places(now_us)
+        if self.held:
+            self._free_stalled_places(now_us)
         if self.closing:  # connections with unread input may be idle by now
             self._close_idle()
 
-    def _free_stalled_places(self, now_us: int) -> bool:
+    def _free_stalled_places(self, now_us: int) -> None:
         """End clients that sent no request, stopped amid one, or send one at a great cost.
 
-        Others wait in the kernel.  Returns whether there were any.
+        Others wait in the kernel.
         """
-        unused = [
-            connection
-            for connection in self._open
-            if priority_to_close(connection, now_us) == FIRST_PRIORITY and not unread(connection.link)
-        ]
-        for connection in unused:
-            connection.close(CloseReason.MADE_ROOM, at_once=True)
+        for connection in list(self._open):
+            unused = priority_to_close(connection, now_us) == FIRST_PRIORITY
+            if unused and not unread(connection.link):
+                connection.close(CloseReason.MADE_ROOM, at_once=True)
         arriving = [connection for connection in self._open if connection.arriving]
         costly = [connection for connection in self._open if connection.is_costly]
         to_evict = dict.fromkeys(stalled_longest_first(arriving, now_us) + costly)
-        for connection in list(to_evict)[: self.evicted_places]:
+        for connection in list(to_evict)[: max(1, self._max_connections // EVICTED_PLACES_DIVISOR)]:
             self._evict(connection)
-        return bool(unused or to_evict)
 
     def end(self) -> None:
         """Reject requests that are still arriving, as the process is about to be killed."""
--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -24,7 +24,7 @@
 MAX_INTERIM_ANSWERS = 8  # 1xx answers before the final one
 ERROR_BODY_STALL_US = 500_000  # longest gap between bytes of an answer whose status alone is needed
 # A streamed answer may be given up if it rests for so long, and so long after its request's time, and only
-# where its node has gone or others need its place.
+# where its node has gone or others need its connection.
 LONG_REST_US = 5_000_000
 REST_AFTER_TIME_US = 2_000_000
 STALE_US = 20_000  # a reset sooner than this after the request: the node had closed the idle connection
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -33,6 +33,7 @@
 IDLE_SHARE = 0.6  # of the node's idle timeout: a request written as the node closes would be reset
 MAX_DIALS = 8  # concurrent dials per node
 UPLOAD_DIVISOR = 2  # uploads that are being received may have 1/2 of all connections
+RESTING_DIVISOR = 2  # answers that rest for long may hold 1/2 of all connections
 HEALTH_CHECK_US = 250_000  # timeout of a health check
 
 
@@ -343,7 +344,7 @@
         if address is None or not self._needs_dial(node):
             return
         most = self._max_connections + len(self._adopted)
-        if self.connections >= most and not (self._close_longest_idle() or self.end_longest_rests(1)):
+        if self.connections >= most and not (self._close_longest_idle() or self._end_longest_rest()):
             if not node.connections:  # none could become free for it
                 self.finish(node.pending.popleft(), AttemptResult.NO_CONNECTION)
             return
@@ -433,17 +434,19 @@
         if node.pending and node.wakeup is None:
             node.wakeup = self.clock.call_later(0, lambda: self._wake(node))
 
-    def end_longest_rests(self, count: int) -> int:
-        """Break off up to ``count`` answers that rest for long, as others need their places; return how many.
+    def _end_longest_rest(self) -> bool:
+        """Break off the answer that has rested for longest, as its connection is needed.
 
-        Those go first whose node has rested for longest.
+        Answers that rest for long may hold a part of all connections before any of them goes; returns
+        whether one went.
         """
         now_us = self.clock.now_us()
         resting = [connection for connection in self._table.busy if connection.rests_long(now_us)]
-        resting.sort(key=lambda connection: connection.rest_us(now_us), reverse=True)
-        for connection in resting[:count]:
-            connection.give_up_stream(StreamEnd.PLACE_NEEDED)
-        return min(count, len(resting))
+        if len(resting) * RESTING_DIVISOR <= self._max_connections:
+            return False
+        longest = max(resting, key=lambda connection: connection.rest_us(now_us))
+        longest.give_up_stream(StreamEnd.CONNECTION_NEEDED)
+        return True
 
     def stream_given_up(self, connection: NodeConnection, why: StreamEnd) -> None:
         """Log a streamed answer that is about to be broken off by the gateway."""
--- a/gaugesail/memory_budget.py
+++ b/gaugesail/memory_budget.py
@@ -12,6 +12,8 @@
 
 MEGABYTE = 1024 * 1024
 PROGRAM_BYTES = 42 * MEGABYTE  # of one process without clients
+SERVER_BYTES = 5 * 1024  # of the records of a listed server
+USUAL_SERVERS = 200  # whose records are part of the program
 USABLE_SHARE = 0.75  # of what remains: the allocator does not return all that is freed
 SMALLEST_SHARE = 1 / 8  # of the limit, even if the program leaves less
 # Shares of the usable memory.
@@ -38,10 +40,14 @@
     request_ids: int  # remembered after their clients have left
 
     @classmethod
-    def within(cls, limit_mb: int, connections: int, processes: int = 1) -> MemoryBudget:
-        """Return the budget of each of ``processes`` that share a limit in MB and serve ``connections``."""
+    def within(cls, limit_mb: int, connections: int, processes: int = 1, servers: int = 0) -> MemoryBudget:
+        """Return the budget of each of ``processes`` that share a limit in MB and serve ``connections``.
+
+        :param servers: in the endpoint list.
+        """
         limit = limit_mb * MEGABYTE
-        rest = (limit - processes * PROGRAM_BYTES) * USABLE_SHARE
+        list_bytes = max(0, servers - USUAL_SERVERS) * SERVER_BYTES
+        rest = (limit - processes * (PROGRAM_BYTES + list_bytes)) * USABLE_SHARE
         usable = max(rest, limit * SMALLEST_SHARE) / processes
         connection_bytes = int(usable * CONNECTION_SHARE / (BUFFERS_OF_CONNECTION * max(1, connections)))
         records = usable * RECORD_SHARE
@@ -65,9 +71,9 @@
         """Whether the program itself takes all of it."""
         return self.megabytes * MEGABYTE <= PROGRAM_BYTES
 
-    def budget(self, processes: int) -> MemoryBudget:
-        """Return what each of ``processes`` of the gateway may use for its peers."""
-        return MemoryBudget.within(self.megabytes, self.connections // processes, processes)
+    def budget(self, processes: int, servers: int = 0) -> MemoryBudget:
+        """Return what each of ``processes`` of the gateway may use for its peers, beside its list."""
+        return MemoryBudget.within(self.megabytes, self.connections // processes, processes, servers)
 
 
 def _power_of_two(byte_count: int) -> int:
--- a/gaugesail/rehearsal/soak/plan.py
+++ b/gaugesail/rehearsal/soak/plan.py
@@ -20,6 +20,8 @@
 SOCKETS_WITH_CROWDS = 160
 MEMORY_MB = (64, 96, 192)  # each gateway draws one
 PROGRAM_MB = 48  # a limit of two processes leaves at least this for each of them
+# What a process may take beside that with further servers ("Beyond this bench", STANDING).
+FURTHER_MB, FURTHER_MB_PER_SERVER = 8.0, 4.0 / 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,6 +67,11 @@
         """Whether gateways have a part of a core at times: in runs with many servers."""
         return self.servers > 0
 
+    @property
+    def program_mb(self) -> float:
+        """What is left at least for each process of a gateway."""
+        return PROGRAM_MB + (FURTHER_MB + FURTHER_MB_PER_SERVER * self.servers if self.servers else 0.0)
+
     @property
     def has_crowds(self) -> bool:
         """Whether crowds of idle clients come."""
--- a/gaugesail/service.py
+++ b/gaugesail/service.py
@@ -108,6 +108,7 @@
         self._sweeps = 0
         self._counts_report: CountsReport
         self.fleet: FleetMember | None = None
+        self._servers = 0  # in the latest whole list
         self.on_whole_list: Callable[[int], None] = lambda servers: None  # after a whole list was applied
         self.waits_for_list = False  # accept nothing with a cached endpoint list, which may miss drains
 
@@ -242,11 +243,24 @@
         if present != self.engine.has_sibling:
             self._log.info("sibling_process_started" if present else "sibling_process_ended")
         self.engine.set_sibling_process(present, is_predecessor)
-        processes = 2 if present else 1
-        budget = self.memory.budget(processes)
+        self._apply_memory_budget()
+        self.limit(self._processes)
+
+    @property
+    def _processes(self) -> int:
+        return 2 if self.engine.has_sibling else 1
+
+    def _apply_memory_budget(self) -> None:
+        budget = self.memory.budget(self._processes, self._servers)
         self.buffers.trim(budget.buffers, budget.connection_bytes)
         self.engine.limit_records(budget)
-        self.limit(processes)
+
+    def whole_list_received(self, servers: int) -> None:
+        """Set memory aside for the records of so many servers."""
+        if servers != self._servers:
+            self._servers = servers
+            self._apply_memory_budget()
+        self.on_whole_list(servers)
 
     def predecessor_clients(self, clients: int) -> None:
         """Use the client places that the predecessor's ``clients`` connections leave free."""
@@ -267,9 +281,6 @@
             self.hand_over_answers()
         self._shutdown.successor_changed()
 
-    def free_places(self) -> None:
-        """Free places of clients, if others wait for one that nobody else can free."""
-
     def hand_over_answers(self) -> None:
         """Hand over to the successor the answers that would outlast this process."""
 
@@ -389,7 +400,6 @@
         self.front.sweep()
         self.transport.sweep()
         self.operations.sweep()
-        self.free_places()
         if self._management is not None:
             self._management.sweep()
         if self.replaced:
