Read an answer that stands in the kernel before its time ends it

Cause: timers run before the sockets are read; a deadline that comes up to 50 ms late does not wait for a read. Change: a deadline first reads what its attempt's connection has received, unless that has ended.

--- a/gaugesail/core/attempts.py
+++ b/gaugesail/core/attempts.py
@@ -156,6 +156,9 @@
         is_outdated = self.clock.now_us() < attempt.deadline_us  # it has been given another since
         if attempt.ended or attempt.answer_started or is_outdated:
             return
+        self._read_now(attempt)
+        if attempt.ended or attempt.answer_started:
+            return
         entry = self.table.open.get(attempt.request_id)
         if attempt.answer_begun and entry is not None:
             last_us = entry.deadline_us - ANSWER_MARGIN_US
@@ -167,6 +170,13 @@
         if not self.pass_on(attempt):
             self.abort(attempt, AttemptResult.TIMEOUT)
 
+    def _read_now(self, attempt: Attempt) -> None:
+        """Read an answer that arrived in time, but was not read while the process was late."""
+        try:
+            self.transport.read_now(attempt)
+        except Exception as error:  # the attempt ends as any other
+            self.activity.fault("read_now_raised", error)
+
     def pass_on(self, attempt: Attempt) -> bool:
         """Pass on what has come of an answer that its client would not get in time otherwise.
 
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -248,6 +248,10 @@
         """Abort an attempt if its last byte has not been written; returns whether it was aborted."""
         ...
 
+    def read_now(self, attempt: Attempt) -> None:
+        """Read what has arrived of an attempt's answer, as its time ends."""
+        ...
+
     def pass_on(self, attempt: Attempt) -> bool:
         """Stream what has arrived of an attempt's answer, and its rest as it comes.
 
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -18,7 +18,7 @@
 from ..buffers import BufferPool
 from ..core.ports import Attempt, AttemptListener, BodySink, BodySource, ClientRequest, Clock, Logger, Reactor
 from ..memory_holders import stalled_longest_first
-from ..net import attach, dial
+from ..net import attach, dial, read_now
 from .connection_table import ConnectionTable
 from .forwarded_request import ForwardedRequest
 from .idle_times import IdleTimes
@@ -224,6 +224,12 @@
         connection = attempt.connection
         return isinstance(connection, NodeConnection) and not connection.written and not self.abort(attempt)
 
+    def read_now(self, attempt: Attempt) -> None:
+        """Read what has arrived of an attempt's answer."""
+        connection = attempt.connection
+        if isinstance(connection, NodeConnection) and not connection.lost:
+            read_now(connection.link)
+
     def pass_on(self, attempt: Attempt) -> bool:
         """Stream what has arrived of an attempt's answer; returns whether that is possible."""
         connection = attempt.connection
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -454,6 +454,9 @@
             return True
         return False
 
+    def read_now(self, attempt: Attempt) -> None:
+        """Do nothing: the session serves other commands too."""
+
     def pass_on(self, attempt: Attempt) -> bool:
         """Do nothing: a read has a known, bounded length, and its status comes after its data."""
         return False
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -123,6 +123,12 @@
     return bool(_poll_events(link) & (POLL_ENDED | select.POLLIN))
 
 
+def read_now(link: Any) -> None:
+    """Read what a connection has received, unless it has ended: that is left to the reactor."""
+    if _poll_events(link) == select.POLLIN:
+        link.doRead()
+
+
 def kernel_wait_us(link: Any, clock: Clock) -> int:
     """How long the latest received bytes have been unread in the kernel, in microseconds.
 
--- a/gaugesail/rehearsal/soak/command.py
+++ b/gaugesail/rehearsal/soak/command.py
@@ -64,6 +64,13 @@
     show_default=True,
     help="Of writes: large ones.",
 )
+@click.option(
+    "--rate",
+    type=click.FloatRange(1, 500),
+    default=12.0,
+    show_default=True,
+    help="Requests a second at each gateway.",
+)
 @click.option(
     "--servers",
     type=click.IntRange(0, 10_000),
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -59,6 +59,9 @@
     def abort(self, attempt: Attempt) -> None:
         self.aborted.append(attempt)
 
+    def read_now(self, attempt: Attempt) -> None:
+        """Nothing arrives here unread."""
+
     def pass_on(self, attempt: Attempt) -> bool:
         return False
 
--- a/tests/http/test_late_process.py
+++ b/tests/http/test_late_process.py
@@ -96,3 +96,19 @@
         client.send(message[sent:])
         rig.pass_time(0.1)
         assert client.closed() is not keeps and not client.was_reset
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.03])
+@pytest.mark.parametrize("size", [2, 150_000])
+def test_an_answer_that_has_arrived_is_read_before_its_time_ends_it(late_s: float, size: int) -> None:
+    """Guards against refusing a request whose answer stands unread in the kernel as its time ends."""
+    with gateway_rig() as rig:
+        client = rig.client()
+        client.send(rig.request("a", timeout=int(TIMEOUT_S * 1000)))
+        end = rig.nodes[0].wait_for("a")
+        rig.pass_time(TIMEOUT_S - 0.1)
+        end.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nxx" % size)
+        rig.now += 0.1 + late_s
+        rig.turn(3)
+        assert client.read().startswith(b"HTTP/1.1 200 ")
+        assert not end.closed()
