--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -32,7 +32,7 @@
 def test_a_short_soak_violates_no_rule(seed: int, servers: int) -> None:
     done = subprocess.run(
         [sys.executable, "-m", "gaugesail.cli", "trial", "soak", "--heads", "5", "--seconds", "12",
-         "--large-share", "0", "--seed", str(seed), "--servers", str(servers), "--json"],
+         "--seed", str(seed), "--servers", str(servers), "--json"],
         cwd=ROOT, capture_output=True, text=True, timeout=120, check=False,
     )  # fmt: skip
     assert done.stdout, done.stderr
