Report a dial that the reactor refuses at once as any other failure

Cause: the factory that took the place of Twisted's endpoint let what connectTCP raises through, which the endpoint turned into a failed Deferred; a pending request of that node would have waited for its time. Change: it fails the Deferred. Three tests of dial, which had none of its own. Evidence: one of the three failed before.

--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -266,6 +266,9 @@
     Cancelling the Deferred aborts the dial.
     """
     factory: Any = _DialFactory(build)
-    factory.connector = reactor.connectTCP(*address, factory, timeout=timeout_s)
     dialled: Deferred[Any] = factory.dialled
+    try:
+        factory.connector = reactor.connectTCP(*address, factory, timeout=timeout_s)
+    except Exception:  # reported as any other failure of the dial
+        dialled.errback()
     return dialled
