Measure with the discovery and the processor time that the project already had

Change: server_count_rig had a discovery service and a list of its own; it uses rehearsal.peers.Directory, whose changes no longer look through all entries. cpu_seconds, which stood twice, is in measure.processor_time.

--- a/gaugesail/measure/fleet_cost.py
+++ b/gaugesail/measure/fleet_cost.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import json
-import os
 import statistics
 import tempfile
 from dataclasses import replace
@@ -20,17 +19,12 @@
 
 from ..core.clock import use_monotonic_time
 from ..rehearsal.fleet.trial import READY_TIMEOUT_S, GatewaysNotReady, Rig, Trial
+from .processor_time import cpu_seconds
 
 RATE = 100_000.0  # units per second, so that nothing is rejected
 MAX_CONCURRENT = 8
 
 
-def cpu_seconds(pid: int) -> float:
-    """Return the CPU time that a process has used so far, in seconds."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 class MeasuredGateway:
     """A gateway, its clients, and its costs: CPU seconds per request, one for each batch."""
 
--- a/gaugesail/measure/server_count_rig.py
+++ b/gaugesail/measure/server_count_rig.py
@@ -6,36 +6,28 @@
 
 from __future__ import annotations
 
-import json
-import os
 import random
 import subprocess
 from collections import deque
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from ..http.messages import Head
 from ..net import dial
 from ..rehearsal import defaults
 from ..rehearsal.fleet.heads import GatewayProcess, free_ports
-from ..rehearsal.peers import HttpConnection, HttpListener
+from ..rehearsal.peers import Directory, HttpConnection, HttpListener
+from .processor_time import cpu_seconds
 
 LISTENERS = 8
 SOCKETS = 1024
 MEMORY_MB = 192
-HEARTBEAT_S = 2.0
 READY_S = 60.0
 REACTOR_STEP_S = 0.002
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 REQUEST_MS = 3_000
 
 
-def cpu_seconds(pid: int) -> float:
-    """Return the processor time that a process has used so far, in seconds."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 class AnsweringServers(HttpListener):
     """A listener that answers each request at once, for many entries of the list."""
 
@@ -52,70 +44,12 @@
         connection.link.write(ANSWER)
 
 
-class ListedServers:
-    """The endpoint list: one entry for each shard."""
-
-    def __init__(self, addresses: list[str], count: int) -> None:
-        self._addresses = addresses
-        self.count = count
-        self.revision = 1
-        self._draining: set[int] = set()
-
-    def entry(self, shard: int) -> dict[str, Any]:
-        """The entry of one server."""
-        return {
-            "id": f"s-{shard:06x}", "host_port": self._addresses[shard % len(self._addresses)],
-            "locality": "ruum-1", "flavor": "node-2c", "cell": shard,
-            "phase": "Terminating" if shard in self._draining else "Ready", "size": 1.0, "up_since_ms": 0,
-        }  # fmt: skip
-
-    def full(self) -> dict[str, Any]:
-        """The whole list."""
-        members = [self.entry(shard) for shard in range(self.count)]
-        return {"revision": self.revision, "complete": True, "members": members}
-
-    def change(self, shard: int) -> dict[str, Any]:
-        """Let a server begin to drain, or be ready again; returns the change."""
-        self._draining ^= {shard}
-        self.revision += 1
-        return {"revision": self.revision, "complete": False, "members": [self.entry(shard)]}
-
-
-class ListDiscovery(HttpListener):
-    """A discovery service with watches."""
+class Server(NamedTuple):
+    """One entry of the list."""
 
-    def __init__(self, reactor: Any, servers: ListedServers) -> None:
-        self._servers = servers
-        self._watches: list[HttpConnection] = []
-        super().__init__(reactor, "discovery")
-        self._heartbeat()
-
-    def lost(self, connection: HttpConnection) -> None:
-        """End a watch."""
-        super().lost(connection)
-        if connection in self._watches:
-            self._watches.remove(connection)
-
-    def message(self, connection: HttpConnection, head: Head, body: bytes) -> None:
-        """Send the whole list, and keep the watch."""
-        self._watches.append(connection)
-        connection.link.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self._chunk(connection, json.dumps(self._servers.full()).encode())
-
-    @staticmethod
-    def _chunk(connection: HttpConnection, text: bytes) -> None:
-        connection.link.write(b"%x\r\n%b\n\r\n" % (len(text) + 1, text))
-
-    def change(self, shard: int) -> None:
-        """Change the entry of one server."""
-        text = json.dumps(self._servers.change(shard)).encode()
-        for watch in self._watches:
-            self._chunk(watch, text)
-
-    def _heartbeat(self) -> None:
-        self._reactor.callLater(HEARTBEAT_S, self._heartbeat)
-        for watch in self._watches:
-            self._chunk(watch, b"")
+    name: str
+    address: str
+    shard: int
 
 
 class KeptClients:
@@ -185,8 +119,10 @@
         self.reactor = reactor
         self._rng = random.Random(seed)
         self.servers = [AnsweringServers(reactor, f"servers-{number}") for number in range(LISTENERS)]
-        self.listed = ListedServers([servers.address for servers in self.servers], listed)
-        self.discovery = ListDiscovery(reactor, self.listed)
+        self.discovery = Directory(reactor, "discovery", lambda address: None)
+        self.names = [f"s-{shard:06x}" for shard in range(listed)]
+        for shard, name in enumerate(self.names):
+            self.discovery.add(Server(name, self.servers[shard % LISTENERS].address, shard))
         listen_port, management_port = free_ports(2)
         self.process = GatewayProcess("n", folder, listen_port, management_port, 0)
         self.process.with_fleet = False
@@ -244,12 +180,17 @@
                 self.clients.send(self._rng.randrange(used))
                 sent += 1
             while changed < elapsed_s * changes_per_s:
-                self.discovery.change(self._rng.randrange(used, self.listed.count))
+                self._change(self.names[self._rng.randrange(used, len(self.names))])
                 changed += 1
             if elapsed_s > requests / rate + READY_S:
                 raise TimeoutError(f"{self.clients.open_requests} requests without an answer")
             self.reactor.iterate(REACTOR_STEP_S)
 
+    def _change(self, name: str) -> None:
+        """Let a server begin to drain, or be ready again."""
+        is_ready = self.discovery.entries[name]["phase"] == "Ready"
+        self.discovery.send([name, "Terminating" if is_ready else "Ready"])
+
     def close(self) -> None:
         """End the process and the stand-ins."""
         self.process.kill()
--- a/gaugesail/rehearsal/peers.py
+++ b/gaugesail/rehearsal/peers.py
@@ -488,7 +488,7 @@
 
     def listing(self, full: bool, node_name: str = "") -> dict[str, Any]:
         """Return a message of discovery with all nodes or the named one; ``full`` marks it as complete."""
-        members = [entry for name, entry in self.entries.items() if not node_name or name == node_name]
+        members = [self.entries[node_name]] if node_name else list(self.entries.values())
         return {"revision": self.revision, "complete": full, "members": members}
 
     def add(self, node: Any, phase: str = "Ready", up_since_ms: int = 0) -> None:
