Derive what the pool and the recovery kept twice, and time only bodies that are awaited

Change: whether a node has gone follows from the pool's own record of removed nodes; the shards that are awake are a set, in the order that their records tell; a dormant queue advances as any other. The timer of a body begins after the read that leaves it incomplete, not for each small request that comes whole. Unserved units are in an OrderedDict: the front of a dict that loses its first entries is found by passing over them.

--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -209,6 +209,7 @@
         engine, retry_after_us = self.owner.engine, self.owner.retry_after_us
         try:
             self._read_requests()
+            self._time_body()
             if self.input.truncated and self._may_read():
                 engine.counts["pipelined_too_much"] += 1
                 self.fail_input(429, "too much at once", retry_after_us)
@@ -269,8 +270,6 @@
                 raise BadMessage("the method is neither GET nor PUT", 405)
             self._request = self.owner.reader.read(head, Body(self.owner.pool))
             self._request.payload.reserve()
-            if head.length != 0:
-                self._time_body(self._request)
         expects = head.headers.get("expect", "").lower()
         head.headers = {}  # not needed while the body arrives
         if expects not in ("", "100-continue"):
@@ -292,8 +291,11 @@
                 self._upload = ClientUpload(self, request, self.head.length)
                 self._upload.begin()
 
-    def _time_body(self, request: ClientRequest) -> None:
-        """Refuse a request whose client may have waited for its time while the body was not read."""
+    def _time_body(self) -> None:
+        """Refuse a request whose client may have waited for its time while its body was not read."""
+        request = self._request
+        if self.head is None or request is None or self._upload is not None or self._body_timer is not None:
+            return
         self._body_timer = UploadTimer(
             self.owner.clock,
             max(0, request.timeout_us - ANSWER_MARGIN_US),
--- a/gaugesail/http/connection_table.py
+++ b/gaugesail/http/connection_table.py
@@ -14,7 +14,7 @@
 
     def __init__(self) -> None:
         self._idle: OrderedDict[NodeConnection, None] = OrderedDict()  # the longest idle first
-        self._busy: OrderedDict[NodeConnection, None] = OrderedDict()
+        self._busy: dict[NodeConnection, None] = {}
         self.dials = 0
 
     def __len__(self) -> int:
@@ -39,7 +39,6 @@
         """Add a connection that is idle from now on."""
         self._busy.pop(connection, None)
         self._idle[connection] = None
-        self._idle.move_to_end(connection)
 
     def add_busy(self, connection: NodeConnection) -> None:
         """Add a connection that carries a request from now on."""
--- a/gaugesail/http/node_connection.py
+++ b/gaugesail/http/node_connection.py
@@ -325,11 +325,6 @@
         deadline_us = self.attempt.deadline_us if self.attempt is not None else 0
         return now_us > max(deadline_us + REST_AFTER_TIME_US, self._last_byte_us + LONGEST_REST_US)
 
-    @property
-    def node_has_gone(self) -> bool:
-        """Whether the process at the other end has gone, by the endpoint list."""
-        return self.node.is_removed or self.generation < self.node.gone_generation
-
     def give_up_stream(self, why: StreamEnd) -> None:
         """Break a streamed answer off; its client's connection is reset."""
         self._pool.stream_given_up(self, why)
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -111,17 +111,15 @@
         )
         if not address.ready or changed:
             self._end_unstarted(node_id)
-        node = self._nodes.get(node_id)
-        if node is not None:
-            node.is_removed = False
-            if changed:
-                node.gone_generation = node.generation
+        self._unlisted.discard(node_id)
+        if changed and node_id in self._nodes:
+            node = self._nodes[node_id]
+            node.gone_generation = node.generation
 
     def _remove_address(self, node_id: NodeId) -> None:
         self._end_unstarted(node_id)
         self._addresses.pop(node_id, None)
         if node_id in self._nodes:
-            self._nodes[node_id].is_removed = True
             self._unlisted.add(node_id)
 
     def set_maintenance(self, node_id: NodeId, on: bool) -> None:
@@ -253,7 +251,6 @@
         """
         node = self._nodes.setdefault(attempt.node_id, NodeState(attempt.node_id))
         if attempt.node_id not in self._addresses:
-            node.is_removed = True
             self._unlisted.add(attempt.node_id)
         connection = NodeConnection(self, node, node.generation)
         connection.take_over_stream(state, attempt, listener)
@@ -473,7 +470,7 @@
         for connection in self._table.busy:
             if connection.error_body_stalled(now_us):
                 connection.end_by_status()
-            elif connection.node_has_gone and connection.rests_long(now_us):
+            elif self._has_gone(connection) and connection.rests_long(now_us):
                 connection.give_up_stream(StreamEnd.NODE_GONE)
         while (idle := self._table.longest_idle) is not None and self._is_idle_too_long(idle, now_us):
             idle.abort()
@@ -483,12 +480,15 @@
     def _is_idle_too_long(self, connection: NodeConnection, now_us: int) -> bool:
         return now_us - connection.idle_since_us >= self._idle_us
 
+    def _has_gone(self, connection: NodeConnection) -> bool:
+        """Whether the process at the other end has gone, by the endpoint list."""
+        node = connection.node
+        return node.node_id in self._unlisted or connection.generation < node.gone_generation
+
     def _forget_unlisted(self, node_id: NodeId) -> None:
-        """Forget a removed node once it has no connections left, or that it was removed if it is back."""
+        """Forget a removed node once it has no connections left."""
         node = self._nodes[node_id]
-        if node_id in self._addresses:
-            self._unlisted.discard(node_id)
-        elif not node.connections and not node.pending:
+        if not node.connections and not node.pending:
             self._unlisted.discard(node_id)
             del self._nodes[node_id]
 
--- a/gaugesail/http/node_state.py
+++ b/gaugesail/http/node_state.py
@@ -42,7 +42,6 @@
     settle_time: SettleTime = field(default_factory=SettleTime)
     generation: int = 0  # increases when connections to the old address may no longer be used
     gone_generation: int = 0  # connections of earlier generations are those of a process that has gone
-    is_removed: bool = False  # from the endpoint list
 
     def pop_usable(self, now_us: int, max_idle_us: int) -> NodeConnection | None:
         """Return the latest used idle connection that has rested; abort those idle for ``max_idle_us``."""
--- a/gaugesail/http/upload_timer.py
+++ b/gaugesail/http/upload_timer.py
@@ -1,4 +1,4 @@
-"""The time of a large request that is written to its node while it arrives."""
+"""The time of a request whose body is arriving."""
 
 from __future__ import annotations
 
--- a/gaugesail/policy/node_table.py
+++ b/gaugesail/policy/node_table.py
@@ -25,9 +25,7 @@
         self.nodes: dict[NodeId, NodeRecord] = {}
         self.shards = ShardTable(lambda: len(state.latency_targets_us))
         self.in_maintenance: set[NodeId] = set()
-        self._unlisted: dict[
-            NodeId, NodeRecord
-        ] = {}  # not ready by the list, perhaps with attempts in flight
+        self._unlisted: dict[NodeId, NodeRecord] = {}  # not listed as ready
         self.measured = MeasuredLatencies()
         self.measured.restart(state.latency_targets_us, ())
 
--- a/gaugesail/policy/recovery.py
+++ b/gaugesail/policy/recovery.py
@@ -60,7 +60,7 @@
         self.tickets = RetryTickets(rng.getrandbits(64))
         self.retry_after = RetryAfterPolicy(rng)
         self.shards: dict[int, ShardRecovery] = {}
-        self.awake: dict[int, int] = {}  # those that are not dormant, with the number of their opening
+        self.awake: set[int] = set()  # those that are not dormant
         self._opened = 0
         self._capacity = ShardCapacity(settings, slow_start)
         self._period_ended_at = 0
@@ -140,25 +140,25 @@
         return True
 
     def _open(self, now: int, shard: int, phase: ShardPhase, reason: str) -> ShardRecovery:
-        recovery = ShardRecovery(ShardHealth(phase, now, reason), RecoveryQueue(shard, now))
-        self.shards[shard] = recovery
         self._opened += 1
-        self.awake[shard] = self._opened
-        recovery.opened = self._opened
+        health = ShardHealth(phase, now, reason)
+        recovery = ShardRecovery(health, RecoveryQueue(shard, now), opened=self._opened)
+        self.shards[shard] = recovery
+        self.awake.add(shard)
         return recovery
 
     def _attend(self, shard: int) -> ShardRecovery | None:
         """Return a shard in recovery to which something happens, or None if it is not in recovery."""
         recovery = self.shards.get(shard)
         if recovery is not None and shard not in self.awake:
-            self.awake[shard] = recovery.opened
-            recovery.queue.skip_to(self._period_ended_at)
+            self.awake.add(shard)
+            recovery.queue.advance(self._period_ended_at)
         return recovery
 
     def _attended(self) -> list[tuple[int, ShardRecovery]]:
         """Return the shards that are not dormant, in the order in which their recovery was opened."""
-        numbers = sorted(self.awake, key=self.awake.__getitem__)
-        return [(number, self.shards[number]) for number in numbers]
+        found = [(number, self.shards[number]) for number in self.awake]
+        return sorted(found, key=lambda attended: attended[1].opened)
 
     # ---- what may be sent ----
 
@@ -324,7 +324,7 @@
             if recovery.is_over(now):
                 self._close(shard)
             elif recovery.is_dormant:
-                del self.awake[shard]
+                self.awake.discard(shard)
         return notices
 
     def _drop_lost_tickets(self, now: int) -> None:
@@ -345,7 +345,7 @@
     def _close(self, shard: int) -> None:
         self.tickets.drop_shard(shard)
         del self.shards[shard]
-        self.awake.pop(shard, None)
+        self.awake.discard(shard)
 
 
 def _state_of(node: NodeRecord | None) -> NodeState:
--- a/gaugesail/policy/recovery_queue.py
+++ b/gaugesail/policy/recovery_queue.py
@@ -83,10 +83,6 @@
         if self.ticket_count and self.due_units <= DUE_BACKLOG_S * self.capacity_per_s:
             self.progress += span_s * self.retry_rate / self._weight
 
-    def skip_to(self, now: int) -> None:
-        """Pass the time up to ``now``, in which it was unused."""
-        self.advanced_at = max(self.advanced_at, now)
-
     def end_period(self, span_s: float) -> None:
         """End a control period of ``span_s`` seconds."""
         self.new_per_s += NEW_RATE_SMOOTHING * (self.new_units / span_s - self.new_per_s)
--- a/gaugesail/policy/unserved_units.py
+++ b/gaugesail/policy/unserved_units.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from itertools import islice
 
 from .settings import NodeId
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         # Sent units are positive, served units negative; both have the time at which they were sent.  The
         # node that was sent something last is last.
-        self._logs: dict[NodeId, deque[tuple[int, float]]] = {}
+        self._logs: OrderedDict[NodeId, deque[tuple[int, float]]] = OrderedDict()
 
     def clear(self) -> None:
         """Drop all records."""
@@ -28,11 +28,11 @@
 
     def record_sent(self, now: int, node_id: NodeId, units: float, oldest: int) -> None:
         """Record units that are sent to a node; records from before ``oldest`` are dropped."""
-        log = self._logs.pop(node_id, None)
+        log = self._logs.get(node_id)
         if log is None:
             self._drop_before(oldest)
-            log = deque()
-        self._logs[node_id] = log
+            log = self._logs[node_id] = deque()
+        self._logs.move_to_end(node_id)
         log.append((now, units))
         while log[0][0] < oldest:
             log.popleft()
