Free what has ended at once, without cycles that wait for a collection

Cause: an attempt kept the function that asks whether its client has left, which keeps the request, which keeps its attempt in flight. Timers that have run and dials had smaller cycles. Change: an attempt drops that function at its end, a timer its handle as it runs, a dial's factory and connector each other as the connection ends.

--- a/gaugesail/core/attempts.py
+++ b/gaugesail/core/attempts.py
@@ -309,6 +309,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.client_has_disconnected = None  # it references the request, which references the attempt
         self.rules.attempt_ended(attempt)
         self.activity.note(attempt.client_request_id, Step.ENDED, result.name.lower())
         self.table.remove_attempt(attempt)
--- a/gaugesail/core/clock.py
+++ b/gaugesail/core/clock.py
@@ -63,19 +63,21 @@
         self._reactor = reactor
         self._call = call
         self._due = reactor.seconds() + delay
-        self._handle: DelayedCall = reactor.callLater(delay, self._run)
+        self._handle: DelayedCall | None = reactor.callLater(delay, self._run)
 
     def _run(self) -> None:
+        self._handle = None  # the handle of a call that has run keeps its function
         if self._reactor.seconds() - self._due > LATE_TIMER_S:
             self._handle = self._reactor.callLater(0, self._call)
         else:
             self._call()
 
     def cancel(self) -> None:
-        self._handle.cancel()
+        if self._handle is not None:
+            self._handle.cancel()
 
     def active(self) -> bool:
-        return self._handle.active()
+        return self._handle is not None and self._handle.active()
 
 
 class ReactorClock:
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -100,9 +100,13 @@
         return connection
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.connector = None
         if not self.dialled.called:
             self.dialled.errback(reason)
 
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        self.connector = connector.transport = None  # each references the other
+
 
 def available_descriptors(configured: int) -> int:
     """The number of descriptors of this process: as configured, but at most the system's limit."""
