--- a/gaugesail/measure/server_count.py
+++ b/gaugesail/measure/server_count.py
@@ -1,7 +1,9 @@
 """`gaugesail measure server-count`: what a gateway costs with more servers in its list.
 
-The same requests go to a gateway with few and with many listed servers, of which all or few are used, and
-beside changes of the list.  Each cost is compared with the bound that the operators give for larger fleets.
+The same requests go to gateways with few and with many listed servers, of which all or few are used, and
+beside changes of the list.  They take turns, a part of the requests each, so that a processor whose speed
+changes is as fast for all of them.  Each cost is compared with the bound that the operators give for larger
+fleets.
 """
 
 from __future__ import annotations
@@ -9,6 +11,7 @@
 import json
 import sys
 import tempfile
+from contextlib import ExitStack
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
@@ -25,6 +28,7 @@
 CPU_PLUS_PER_SERVER_S = 0.12 / 1000
 SHORTEST_DAY_S = 20.0
 SETTLE_S = 1.0  # after a start, and between the measured spans
+TURNS = 10  # of each case
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,30 +69,57 @@
     return CPU_FACTOR * usual_cpu_s + day_plus_s * span_s / SHORTEST_DAY_S
 
 
-def play(reactor: Any, case: Case, requests: int, rate: float, idle_s: float) -> Cost:
-    """Measure one case."""
-    with tempfile.TemporaryDirectory(prefix="gaugesail-servers-") as folder:
-        rig = ServerCountRig(reactor, Path(folder), case.listed, seed=1)
-        try:
-            rig.start()
-            start_cpu_s = rig.cpu_s
-            rig.load(requests // 10, rate, case.used)  # connections and code are warm from then on
-            rig.run(SETTLE_S)
-            served, others, before_s = rig.clients.served, rig.clients.others, rig.cpu_s
-            began = reactor.seconds()
-            rig.load(requests, rate, case.used, case.changes_per_s)
-            span_s = reactor.seconds() - began
-            cpu_s = rig.cpu_s - before_s
-            rig.run(SETTLE_S)
-            before_s = rig.cpu_s
-            rig.run(idle_s)
-            idle_cpu_s = (rig.cpu_s - before_s) / idle_s
-            return Cost(
-                case, cpu_s, idle_cpu_s, span_s, start_cpu_s, rig.connections_made,
-                rig.clients.served - served, rig.clients.others - others,
-            )  # fmt: skip
-        finally:
-            rig.close()
+class CaseRun:
+    """One case: its rig, and what its gateway has used for the requests so far."""
+
+    def __init__(self, reactor: Any, case: Case, folder: Path) -> None:
+        self._reactor, self._case = reactor, case
+        self.rig = ServerCountRig(reactor, folder, case.listed, seed=1)
+        self._start_cpu_s = self._cpu_s = self._span_s = 0.0
+        self._served = self._others = 0
+
+    def start(self, warm_up_requests: int, rate: float) -> None:
+        """Start the gateway; connections and code are warm afterwards."""
+        self.rig.start()
+        self._start_cpu_s = self.rig.cpu_s
+        self.rig.load(warm_up_requests, rate, self._case.used)
+        self.rig.run(SETTLE_S)
+        self._served, self._others = -self.rig.clients.served, -self.rig.clients.others
+
+    def take_turn(self, requests: int, rate: float) -> None:
+        """Play a part of the requests."""
+        before_s = self.rig.cpu_s
+        began = self._reactor.seconds()
+        self.rig.load(requests, rate, self._case.used, self._case.changes_per_s)
+        self._span_s += self._reactor.seconds() - began
+        self._cpu_s += self.rig.cpu_s - before_s
+
+    def cost(self, idle_cpu_s: float) -> Cost:
+        """Return what the case has used, beside what it uses in an idle second."""
+        clients = self.rig.clients
+        return Cost(
+            self._case, self._cpu_s, idle_cpu_s, self._span_s, self._start_cpu_s, self.rig.connections_made,
+            clients.served + self._served, clients.others + self._others,
+        )  # fmt: skip
+
+
+def play(reactor: Any, cases: list[Case], requests: int, rate: float, idle_s: float) -> list[Cost]:
+    """Measure all cases in turns; their idle time is the same span."""
+    with tempfile.TemporaryDirectory(prefix="gaugesail-servers-") as folder, ExitStack() as stack:
+        runs = list[CaseRun]()
+        for number, case in enumerate(cases):
+            run = CaseRun(reactor, case, Path(folder) / str(number))
+            stack.callback(run.rig.close)
+            run.start(requests // 10, rate)
+            runs.append(run)
+        for _ in range(TURNS):
+            for run in runs:
+                run.take_turn(requests // TURNS, rate)
+        runs[0].rig.run(SETTLE_S)
+        before_s = [run.rig.cpu_s for run in runs]
+        runs[0].rig.run(idle_s)  # one reactor serves the stand-ins of all
+        idle_cpu_s = [(run.rig.cpu_s - before) / idle_s for run, before in zip(runs, before_s, strict=True)]
+        return [run.cost(idle) for run, idle in zip(runs, idle_cpu_s, strict=True)]
 
 
 def cases(counts: list[int], changes_per_s: float) -> list[Case]:
@@ -101,7 +132,7 @@
 
 @click.command("server-count")
 @click.option("--counts", default="800,3200", show_default=True, help="Listed servers, beside the usual 8.")
-@click.option("--requests", type=click.IntRange(10), default=1500, show_default=True)
+@click.option("--requests", type=click.IntRange(TURNS), default=1500, show_default=True)
 @click.option("--rate", type=float, default=250.0, show_default=True, help="Requests a second.")
 @click.option("--changes", type=float, default=100.0, show_default=True, help="Of the list, a second.")
 @click.option("--idle-seconds", type=float, default=5.0, show_default=True)
@@ -117,7 +148,8 @@
 
     use_monotonic_time(reactor)
     numbers = [int(count) for count in counts.split(",")]
-    costs = [play(reactor, case, requests, rate, idle_seconds) for case in cases(numbers, changes)]
+    requests -= requests % TURNS
+    costs = play(reactor, cases(numbers, changes), requests, rate, idle_seconds)
     usual = costs[0]
     if as_json:
         click.echo(json.dumps([asdict(cost) for cost in costs]))
