Drop no iSCSI session beside which its node still works, and look at no other sessions for an abort

Cause: the limit was counted from the abort alone, whatever else the node wrote or still had to do; a command did not know its session, nor a request its aborts. Change: a node is silent if it writes nothing for 1 s while a response is due. A silent one gets no new command, and loses its session once nothing in flight is left there, which its own time ends. One that writes keeps it; who waits for an abort is told after 10 s that its end is not known.

--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -47,9 +47,10 @@
     read_text,
     write_text,
 )
+from .pending_aborts import AbortsByRequest, PendingAbort, PendingAborts
 from .task import Transfer
 
-ABORT_TIMEOUT_US = 1_000_000  # a session without a response to an ABORT TASK is dropped after this time
+ABORT_CHECK_US = 250_000
 HEALTH_CHECK_US = 250_000
 
 
@@ -67,15 +68,7 @@
     data: bytes = b""  # of a write in flight
     sent: int = 0  # bytes of ``data``
     done: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class _PendingAbort:
-    """An ABORT TASK without a response."""
-
-    sent_us: int
-    client_request_id: str  # of the aborted attempt; "" of a health check
-    ended: list[Callable[[bool], None]] = field(default_factory=list)  # called with whether its end is known
+    session: NodeSession | None = None  # that carries it
 
 
 class NodeSession(Connection):
@@ -92,13 +85,17 @@
         self._cmd_sn, self._max_cmd_sn, self._exp_stat_sn = 1, 0, 0
         self._next_itt = 1
         self.commands: dict[int, _Command] = {}
-        self._aborting: dict[int, _PendingAbort] = {}  # by the tag of the ABORT TASK
+        self.aborts = PendingAborts(pool.aborts_by_request)
 
     @property
     def has_window(self) -> bool:
-        """Whether the session can send a command: it is in use, and the node's command window is not full."""
+        """Whether the session can send a command: it is in use, and the node's command window is not full.
+
+        None is sent while the node owes the response to an abort and is silent.
+        """
         left = (self._max_cmd_sn - self._cmd_sn) % SERIAL_MODULUS
-        return self.ready and not self.lost and not self.retiring and left < SERIAL_MODULUS // 2
+        is_in_use = self.ready and not self.lost and not self.retiring
+        return is_in_use and left < SERIAL_MODULUS // 2 and not self._owes_response
 
     def connectionMade(self) -> None:
         """Twisted: the connection is open; log in."""
@@ -123,6 +120,7 @@
         """Twisted: bytes were received; a protocol error ends the session."""
         if self.lost:
             return
+        self.last_received_us = self._pool.clock.now_us()
         self._reader.feed(data)
         try:
             for pdu in self._reader.pdus():
@@ -143,7 +141,7 @@
             self._logged_in(pdu)
         elif pdu.opcode == Op.TASK_RESPONSE:
             is_known = pdu.byte2 in (TaskResponse.FUNCTION_COMPLETE, TaskResponse.NO_SUCH_TASK)
-            self._abort_ended(pdu.itt, is_known)
+            self.aborts.end(pdu.itt, is_known)
         elif pdu.opcode == Op.REJECT:
             self._rejected(pdu)
         elif pdu.opcode == Op.NOP_IN and pdu.itt == NO_TAG:
@@ -204,7 +202,7 @@
     def _rejected(self, pdu: Pdu) -> None:
         """Fail the task whose PDU was rejected; the Reject's data is the header of that PDU."""
         itt = int.from_bytes(pdu.data[16:20], "big") if len(pdu.data) >= 20 else NO_TAG
-        self._abort_ended(itt, False)
+        self.aborts.end(itt, False)
         if (command := self.commands.get(itt)) is not None:
             self._end(command, AttemptResult.ERROR)
 
@@ -231,6 +229,7 @@
         command.itt = self._next_itt
         self._next_itt = self._next_itt % (NO_TAG - 1) + 1
         self.commands[command.itt] = command
+        command.session = self
         if (attempt := command.attempt) is not None:
             attempt.connection = command
         words = {24: self._cmd_sn, 28: self._exp_stat_sn}
@@ -266,34 +265,33 @@
 
     def abort(self, command: _Command) -> None:
         """Send an ABORT TASK, which precedes any later command; late data with the tag is dropped."""
-        if self.commands.pop(command.itt, None) is None or self.lost:
+        if self.commands.get(command.itt) is not command:
+            return
+        del self.commands[command.itt]
+        if self.lost:
             return
         tag, self._next_itt = self._next_itt, self._next_itt % (NO_TAG - 1) + 1
         name = command.attempt.client_request_id if command.attempt is not None else ""
-        self._aborting[tag] = _PendingAbort(self._pool.clock.now_us(), name)
+        self.aborts.add(tag, PendingAbort(self._pool.clock.now_us(), name))
         words = {20: command.itt, 24: self._cmd_sn, 28: self._exp_stat_sn}
         lun = lun_bytes(command.transfer.lun) if command.transfer is not None else bytes(8)
         self._write(Op.TASK, FINAL | ABORT_TASK, tag, words, lun=lun, immediate=True)
-        self._pool.watch_aborts()
+        self._pool.watch_aborts(self)
 
-    def _abort_ended(self, tag: int, is_known: bool) -> None:
-        pending = self._aborting.pop(tag, None)
-        if pending is not None:
-            for call in pending.ended:
-                call(is_known)
-
-    def aborts_of(self, client_request_id: str) -> list[_PendingAbort]:
-        """Return the aborts of a request's attempts that have no response."""
-        return [abort for abort in self._aborting.values() if abort.client_request_id == client_request_id]
+    @property
+    def _owes_response(self) -> bool:
+        return self.aborts.node_is_silent(self._pool.clock.now_us(), self.last_received_us)
 
-    def abort_timed_out(self, now: int) -> bool:
-        """Whether an ABORT TASK has had no response for ABORT_TIMEOUT_US: the node no longer responds."""
-        return any(now - pending.sent_us >= ABORT_TIMEOUT_US for pending in self._aborting.values())
+    def check_aborts(self) -> bool:
+        """End what waits for the response to an abort for too long; returns whether any is still pending.
 
-    @property
-    def aborting(self) -> bool:
-        """Whether the response to an ABORT TASK is pending."""
-        return bool(self._aborting)
+        A node that is silent has gone if nothing else of it is awaited; a command in flight has its own time.
+        """
+        if self._owes_response and not self.commands:
+            self._pool.log.warning("session_silent", node=self._node.endpoint.node_id.decode())
+            self.drop(AttemptResult.RESET)
+        self.aborts.end_overdue(self._pool.clock.now_us())
+        return bool(self.aborts)
 
     def retire(self) -> None:
         """Send no new command; log out when those in flight have ended."""
@@ -326,8 +324,7 @@
         self._pool.session_lost(self._state, self)
         for command in commands:
             self._pool.finish(command, result)
-        for tag in list(self._aborting):
-            self._abort_ended(tag, False)
+        self.aborts.end_all()
 
 
 @dataclass(slots=True, eq=False)
@@ -361,8 +358,11 @@
         self.initiator, self._timeout_us = initiator, connect_timeout_us
         self._configured: dict[NodeId, StorageNode] = {}
         self._nodes: dict[NodeId, _NodeState] = {}
+        self._unlisted: set[NodeId] = set()  # of ``_nodes``
         self._sessions: dict[NodeSession, None] = {}
         self._in_maintenance: set[NodeId] = set()
+        self.aborts_by_request: AbortsByRequest = {}
+        self._aborting: dict[NodeSession, None] = {}  # sessions with an abort that has no response
         self._abort_check: DelayedCall | None = None
 
     @property
@@ -377,6 +377,7 @@
         fail; those in flight may finish.
         """
         old, self._configured = self._configured, nodes
+        self._unlisted = {node_id for node_id in self._nodes if node_id not in nodes}
         for node_id, before in old.items():
             now = nodes.get(node_id)
             same = now is not None and (
@@ -446,11 +447,11 @@
         if isinstance(command, _Command):
             command.done = True
             self._release(command)
-            for session in list(self._sessions):
-                if session.commands.get(command.itt) is command:
-                    session.abort(command)
-                    if session.retiring and not session.commands:
-                        session.logout()
+            session, command.session = command.session, None
+            if session is not None:
+                session.abort(command)
+                if session.retiring and not session.commands:
+                    session.logout()
             return True
         return False
 
@@ -469,7 +470,7 @@
 
     def when_aborted(self, client_request_id: str, ended: Callable[[bool], None]) -> None:
         """Call ``ended`` once the nodes have responded to all aborts of a request's attempts."""
-        pending = [abort for session in self._sessions for abort in session.aborts_of(client_request_id)]
+        pending = list(self.aborts_by_request.get(client_request_id, ()))
         waits = SeveralAborts(len(pending), ended)
         for abort_task in pending:
             abort_task.ended.append(waits.one_ended)
@@ -486,7 +487,9 @@
         """Do nothing: the one idle session to a node costs the node little."""
 
     def _queue(self, command: _Command) -> None:
-        state = self._nodes.setdefault(command.node_id, _NodeState(command.node_id))
+        state = self._nodes.get(command.node_id)
+        if state is None:
+            state = self._nodes[command.node_id] = _NodeState(command.node_id)
         state.pending.append(command)
         self.start_pending(state)
 
@@ -592,27 +595,26 @@
             state.login_timeout = None
             self._fail_pending(state)  # never sent: the policy decides on a new attempt
 
-    def watch_aborts(self) -> None:
-        """Check for ABORT TASK timeouts until none is pending."""
+    def watch_aborts(self, session: NodeSession) -> None:
+        """Check a session's aborts until none is pending."""
+        self._aborting[session] = None
         if self._abort_check is None:
-            self._abort_check = self.clock.call_later(ABORT_TIMEOUT_US // 4, self._check_aborts)
+            self._abort_check = self.clock.call_later(ABORT_CHECK_US, self._check_aborts)
 
     def _check_aborts(self) -> None:
         self._abort_check = None
-        now = self.clock.now_us()
-        for session in list(self._sessions):
-            if session.abort_timed_out(now):
-                self.log.warning("session_silent", node=session._node.endpoint.node_id.decode())
-                session.drop(AttemptResult.RESET)
-        if any(session.aborting for session in self._sessions):
-            self.watch_aborts()
+        sessions, self._aborting = self._aborting, {}
+        for session in sessions:
+            if session.check_aborts():
+                self.watch_aborts(session)
 
     def sweep(self) -> None:
         """Forget nodes that are not in the list and have no session, dial or pending command."""
-        for node_id in [node_id for node_id in self._nodes if node_id not in self._configured]:
+        for node_id in list(self._unlisted):
             state = self._nodes[node_id]
             if state.session is None and state.dial is None and not state.pending:
                 del self._nodes[node_id]
+                self._unlisted.discard(node_id)
 
     def close(self) -> None:
         """Log out of all sessions, as soon as their commands have ended."""
--- a/tests/iscsi/test_aborted_writes.py
+++ b/tests/iscsi/test_aborted_writes.py
@@ -101,3 +101,48 @@
         assert rig.until(lambda: bool(words_of(client, "aborted")))
         assert words_of(client, "aborted") == [["aborted", COMPLETE]]
         assert aborts_at_node(rig) == 0
+
+
+def test_a_read_that_its_node_still_works_on_is_served_beside_an_abort_without_a_response() -> None:
+    """Guards against a session that is dropped with the commands in flight, 1 s after an abort."""
+    with rigged() as rig:
+        client = client_with_write(rig)
+        client.send(["read", "tag=10", "lba=5"])
+        assert rig.until(lambda: "lba=5" in rig.received())
+        rig.node.send(["mute"])
+        send(client, "abort", "9")
+        rig.pass_time(1.3 * ABORT_TIMEOUT_S)
+        rig.answer_held()
+        assert rig.until(lambda: bool(words_of(client, "good")))
+        assert not words_of(client, "aborted"), "the node may still respond"
+
+
+def test_no_command_is_sent_to_a_silent_node_that_owes_a_response() -> None:
+    with rigged() as rig:
+        client = client_with_write(rig)
+        client.send(["read", "tag=10", "lba=5"])
+        assert rig.until(lambda: "lba=5" in rig.received())
+        rig.node.send(["mute"])
+        send(client, "abort", "9")
+        rig.pass_time(1.2 * ABORT_TIMEOUT_S)
+        client.send(["read", "tag=11", "lba=6"])
+        rig.pass_time(0.1)
+        assert "lba=6" not in rig.received()
+        rig.answer_held()
+        assert rig.until(lambda: "lba=6" in rig.received()), "the node has written: it is there"
+
+
+def test_an_abort_that_a_node_at_work_never_answers_ends_as_unknown_without_its_session() -> None:
+    with rigged() as rig:
+        client = client_with_write(rig)
+        rig.node.send(["mute"])
+        send(client, "abort", "9")
+        for number in range(24):
+            client.send(["read", f"tag={20 + number}", f"lba={number}"])
+            rig.pass_time(0.25)
+            rig.answer_held()
+            rig.pass_time(0.2)
+        assert rig.until(lambda: bool(words_of(client, "aborted")))
+        assert words_of(client, "aborted") == [["aborted", UNKNOWN_END]]
+        assert len(words_of(client, "good")) == 24
+        assert rig.head.transport.connections == 1
