Give an attempt all of its time at a node that ran out of it before

What callers saw: of a node that needs over half of their time, reads were never served: each attempt was given up half way, and the second one had no more left. A node that has served none is not known to be slow, and with many servers each sees few requests. Cause: a limit of ours on attempts that ends what the node still does; its latency is learnt from served attempts only. Change: after an attempt that ran out of its time, those of the class at that node have all of it, until one is served; its latency is known then. A lost answer costs at most the next request its second attempt.

--- a/gaugesail/policy/attempt_results.py
+++ b/gaugesail/policy/attempt_results.py
@@ -75,8 +75,11 @@
             self._outliers.record_success(node, request)
             self._slow_start.record_served(node, request.sent_at, request.units)
             request.volume.reserve_units -= event.served_elsewhere_units
-        elif not excused:
-            self._outliers.record_failure(node, result)
+        else:
+            if result is AttemptResult.TIMEOUT and not cut_short:
+                node.service[request.class_position].may_need_longer = True
+            if not excused:
+                self._outliers.record_failure(node, result)
 
     def _pace(self, node: NodeRecord, elapsed_us: int) -> None:
         """Pause sending after an attempt where the window is below one request.
--- a/gaugesail/policy/dispatch.py
+++ b/gaugesail/policy/dispatch.py
@@ -115,7 +115,10 @@
         state = self._state
         shard.waiting[request.class_position].remove(request)
         self._recovery.request_dequeued(request)
-        timeout_us = state.retry_policy.attempt_timeout_us(request, state.now, hang_us(node, request))
+        may_need_longer = node.service[request.class_position].may_need_longer
+        timeout_us = state.retry_policy.attempt_timeout_us(
+            request, state.now, hang_us(node, request), may_need_longer
+        )
         shard.drain.record_sent(not request.volume.has_reserve(request.units))
         if request.attempts == 0:
             self._volumes.spend(request, shard.spare)
--- a/gaugesail/policy/retry_policy.py
+++ b/gaugesail/policy/retry_policy.py
@@ -57,19 +57,23 @@
         keyed = request_class.idempotency is Idempotency.KEYED
         return keyed and request_class.deduplication_scope is DeduplicationScope.ALL
 
-    def attempt_timeout_us(self, request: PendingRequest, now: int, hang_us: float) -> int:
+    def attempt_timeout_us(
+        self, request: PendingRequest, now: int, hang_us: float, may_need_longer: bool = False
+    ) -> int:
         """Return the timeout of one attempt, in microseconds; 0: until the client gives up.
 
         An attempt at a node that hangs is given up while another one can have as much time as it had.  That
         needs a request that may be executed again and has an attempt left.  One whose attempt has timed out
-        may need longer than half of its time: the next attempt has all that is left.
+        may need longer than half of its time: the next attempt has all that is left.  So has one at a node
+        that gave no answer in the time of its latest: a slow node would serve nothing otherwise.
 
         :param hang_us: after which the node hangs; an attempt that has less time is no sign of that.
+        :param may_need_longer: whether an attempt at the node ran out of its time, with none served since.
         """
         idempotent = request.request_class.idempotency is Idempotency.IDEMPOTENT
         # The body of a request that was written while it came is not kept for another attempt.
         is_last = request.attempts + 1 >= request.max_attempts or bool(request.start_before_us)
         half_us = (request.answer_by - now) // 2
-        if not idempotent or is_last or request.timed_out or half_us < hang_us:
+        if not idempotent or is_last or request.timed_out or may_need_longer or half_us < hang_us:
             return 0
         return half_us
--- a/gaugesail/policy/service_time.py
+++ b/gaugesail/policy/service_time.py
@@ -17,9 +17,11 @@
 
     mean_us: float = 0.0
     fastest_us: float = 0.0
+    may_need_longer: bool = False  # an attempt ran out of its time, and none has been served since
 
     def record(self, elapsed_us: int) -> None:
         """Add a served attempt that took ``elapsed_us``."""
+        self.may_need_longer = False
         if not self.mean_us:
             self.mean_us = self.fastest_us = max(1.0, elapsed_us)
             return
--- a/tests/policy/test_hanging_nodes.py
+++ b/tests/policy/test_hanging_nodes.py
@@ -50,6 +50,37 @@
     assert driver.started[-1].timeout_us == 0, "the request may need longer: it has all the time that is left"
 
 
+@pytest.mark.parametrize("aim_us", AIMS_US)
+def test_a_node_that_needs_over_half_of_the_time_serves_from_its_second_request_on(aim_us: int) -> None:
+    """Guards against a slow node that serves nothing, as each of its attempts is given up half way."""
+    driver = driver_of(aim_us)
+    first = driver.send_request()
+    half_us = driver.started[-1].timeout_us
+    driver.pass_time(half_us)
+    driver.end_attempt((first, 0), AttemptResult.TIMEOUT)
+    driver.disconnect(first)
+    driver.pass_time(3 * SEC)
+    for _ in range(3):
+        number = driver.send_request()
+        assert driver.started[-1].timeout_us == 0, "its node may need longer"
+        driver.pass_time(round(0.7 * CLIENT_TIME_US))
+        driver.end_attempt((number, 0))
+        driver.pass_time(30 * SEC)  # it may be paced
+
+
+@pytest.mark.parametrize("aim_us", AIMS_US)
+def test_a_lost_answer_costs_only_the_next_request_its_second_attempt(aim_us: int) -> None:
+    driver = driver_of(aim_us)
+    first = driver.send_request()
+    driver.pass_time(driver.started[-1].timeout_us)
+    driver.end_attempt((first, 0), AttemptResult.TIMEOUT)
+    driver.pass_time(100_000)
+    driver.end_attempt((first, 1))
+    driver.pass_time(30 * SEC)
+    driver.send_request()
+    assert driver.started[-1].timeout_us > 0, "its node has answered since"
+
+
 @pytest.mark.parametrize("aim_us", AIMS_US)
 def test_the_last_attempt_has_all_the_time_that_is_left(aim_us: int) -> None:
     driver = driver_of(aim_us)
