--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -50,7 +50,7 @@
         self._http_1_0 = False
         self._reading = False
         self.output = UnreadOutput(owner.clock, owner.pool, owner.holders)
-        self._answered_early = False  # before its request was complete: the rest is discarded
+        self.answered_early = False  # before its request was complete: the rest is discarded
         self._discarded = 0  # bytes received since the gateway began to close
         self.body_bytes = 0
         self._chunks_before = 0  # that were read before the request that is arriving
@@ -283,7 +283,7 @@
         self.body_bytes += len(data)
         if self._upload is not None:
             self._upload.write(data)
-        elif request is not None and not self._answered_early:
+        elif request is not None and not self.answered_early:
             request.payload.body.append(data)
             self.owner.holders.add(self)
             if self.body_bytes > MAX_BUFFERED_BODY and self.head is not None:
@@ -322,8 +322,8 @@
         if head is None:
             return
         self.requests_received += 1
-        if self._answered_early:
-            self._answered_early = False
+        if self.answered_early:
+            self.answered_early = False
             if not self._keep_alive or self.owner.leaving:
                 self.close(CloseReason.LAST_ANSWER)
             return
@@ -363,12 +363,12 @@
         A request behind a long rest would wait until that is read: the client is told to use another
         connection.
         """
-        if self._answered_early or self.closing or self.lost:
+        if self.answered_early or self.closing or self.lost:
             return
         if self.head is not None and self._rest_is_long(self.head):
             self._keep_alive = False
         self._upload = None
-        self._answered_early = True
+        self.answered_early = True
         self.owner.engine.counts["rejected_uploads"] += 1
         self.answer(503, b"refused", retry_after_us=self.owner.retry_after_us)
         self.resume_reading()
@@ -400,13 +400,13 @@
         keep_alive = self._stays_open() and not close
         self.unsent_bytes = len(body)
         send_now(self.link, answer_head(status, len(body), retry_after_us, keep_alive) + body)
-        if not self._answered_early:
+        if not self.answered_early:
             self._answer_written(keep_alive, close)
 
     def fail_input(self, status: int, text: str, retry_after_us: int | None = None) -> None:
         """Answer input that cannot be processed, unless it is answered already, and close the connection."""
-        if self._answered_early:
-            self._answered_early = False
+        if self.answered_early:
+            self.answered_early = False
             self.close(CloseReason.BAD_REQUEST, linger=True)
         else:
             self.answer(status, text.encode(), close=True, retry_after_us=retry_after_us)
--- a/gaugesail/http/client_owner.py
+++ b/gaugesail/http/client_owner.py
@@ -65,6 +65,10 @@
         """Look whether the client had stopped amid a request before that part was read."""
         ...
 
+    def log_slow_input(self, connection: ClientConnection) -> None:
+        """Log a request that took too long to arrive, before it is ended."""
+        ...
+
     def log_fault(self, error: Exception) -> None:
         """Count and log a fault of the gateway."""
         ...
--- a/gaugesail/http/client_server.py
+++ b/gaugesail/http/client_server.py
@@ -181,6 +181,20 @@
     def _count_eviction(self) -> None:
         self.engine.counts["evicted"] += 1
 
+    def log_slow_input(self, connection: ClientConnection) -> None:
+        """Log a request that took too long to arrive, before it is ended."""
+        now_us = self.clock.now_us()
+        self._log.info(
+            "request_too_slow",
+            has_head=connection.head is not None,
+            is_answered=connection.answered_early,
+            body_bytes=connection.body_bytes,
+            buffered=connection.input.parser.buffered,
+            since_ms=(now_us - connection.input.since_us) // 1000,
+            latest_byte_ms=(now_us - connection.last_received_us) // 1000,
+            requests_before=connection.requests_received,
+        )
+
     def log_fault(self, error: Exception) -> None:
         """Count and log a fault of the gateway."""
         self.engine.counts["front_raised"] += 1
--- a/gaugesail/http/client_sweep.py
+++ b/gaugesail/http/client_sweep.py
@@ -32,6 +32,7 @@
     elif not connection.awaits_answer and not connection.input.parser.between_messages:
         if not connection.input.stopped and now_us > _due_us(connection):
             counts["half_sent"] += 1
+            connection.owner.log_slow_input(connection)
             connection.fail_input(408, "the request took too long to arrive")
     elif _is_silent(connection, now_us):
         counts["silent"] += 1
--- a/gaugesail/rehearsal/soak/heads.py
+++ b/gaugesail/rehearsal/soak/heads.py
@@ -17,6 +17,7 @@
 from .discovery import GatewayDiscovery, Membership
 from .judge import Rule, SoakJudge
 from .process_end import POLL_INTERVAL_S, ProcessEnd
+from .trace_keeper import TraceKeeper
 
 READY_S = 10.0  # within which a start counts as in time
 SIGTERM_AFTER_READY_S = (0.01, 1.1)  # to the process that a new one replaces
@@ -52,6 +53,7 @@
         self.name = process.name
         self.longest_deadline_s = longest_deadline_s
         self._management_ports = [process.management_port, spare_management_port]  # the first is the latest's
+        self.traces = TraceKeeper(reactor, process.folder, lambda: self._management_ports)
         self.memory_mb = memory_mb
         self.peak_memory_kb = 0  # of all its processes together
         self._memory_reported = False
--- a/gaugesail/rehearsal/soak/judge.py
+++ b/gaugesail/rehearsal/soak/judge.py
@@ -182,12 +182,14 @@
         self.exemptions = Exemptions()
         self.violations: list[Violation] = []
         self.counts: Counter[str] = Counter()
+        self.on_violation: Callable[[str, str], None] = lambda gateway, detail: None  # with its text
         self._open: dict[str, SentRequest] = {}
         self._recent: deque[SentRequest] = deque()
 
     def report(self, rule: Rule, gateway: str, detail: str) -> None:
         """Record a violation."""
         self.violations.append(Violation(rule, self.now(), gateway, detail, self._active_faults()))
+        self.on_violation(gateway, detail)
 
     # ---- clients ----
 
--- a/gaugesail/rehearsal/soak/run.py
+++ b/gaugesail/rehearsal/soak/run.py
@@ -68,8 +68,15 @@
             plan.has_crowds,
             plan.starves,
         )
+        self.judge.on_violation = self._keep_trace
         self._closed = False
 
+    def _keep_trace(self, gateway_name: str, detail: str) -> None:
+        """Keep the trace of the gateway; the text of a violation begins with its request, if it has one."""
+        for gateway in self.gateways:
+            if gateway.name == gateway_name and not self._closed:
+                gateway.traces.keep(detail.split()[0].rstrip(":"))
+
     def _new_node(self, shard: int) -> SoakNode:
         self._nodes_created += 1
         rng = random.Random(self._rng.random())
