Keep of a long list only what is needed: texts of its entries, and the shape of the file

Cause: the list of the configuration file was kept whole, parsed, for the check of a later reload, and again as the list to start with; the list in force was kept parsed for the next process alone. Change: of the file the shape remains, one row of each list with the entries that all rows share; the list to start with goes once it is read; the list in force is kept as text.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -25,7 +25,7 @@
 
 HANDOVER_RETRY_US = 5_000  # until the next look whether the successor takes more answers
 RELOADABLE_ENTRIES = {  # fields of Config that are applied at run time, or needed only at startup
-    "discovery", "known", "seed", "settings", "conn_idle_us", "connect_timeout_us", "zones", "kinds", "raw",
+    "discovery", "known", "seed", "settings", "conn_idle_us", "connect_timeout_us", "zones", "kinds", "shape",
 }  # fmt: skip
 
 
@@ -102,9 +102,8 @@
         """The predecessor's endpoint list if it used the same discovery service, else the configured one."""
         # Revisions of different discovery services cannot be compared.
         same = handed_over.get("discovery") == self.discovery.host
-        endpoints: EndpointList = self.discovery.load_cached(
-            handed_over["list"] if same else self._config.known
-        )
+        known, self._config = self._config.known, replace(self._config, known=None)
+        endpoints: EndpointList = self.discovery.load_cached(handed_over["list"] if same else known)
         return endpoints
 
     def offer_takeover(self) -> Takeover | None:
@@ -198,9 +197,9 @@
 
         Raises ConfigError, and applies nothing, if it is not.
         """
-        configuration.check_shape(self._config.raw, config.raw)
+        configuration.check_shape(self._config.shape, config.shape)
         self._warn_of_restart(self._config, config, RELOADABLE_ENTRIES)
-        self._config = replace(config, limits=self._config.limits)
+        self._config = replace(config, limits=self._config.limits, known=None)
         self.transport.change_timeouts(config.conn_idle_us, config.connect_timeout_us)
         self.discovery.change_names(config.zones, config.kinds)
         self.discovery.change_address(config.discovery)
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -75,14 +75,14 @@
     seed: int
     limits: Limits
     settings: Settings
-    known: Any  # the endpoint list to start with, in discovery's JSON form
+    known: Any  # the endpoint list to start with, in discovery's JSON form; None once it was read
     conn_idle_us: int
     connect_timeout_us: int
     zones: list[str]
     kinds: list[str]
     pushed: bool  # a local agent pushes endpoint lists, which are in force once the agent has them
     folder: str | None  # shared by the processes of this gateway, for handover and state
-    raw: dict[str, Any]  # the JSON that was read
+    shape: dict[str, Any]  # of the JSON that was read, for ``check_shape``
 
 
 # Keys that the protocol defines as optional; a new file must have all other keys of the one in force.
@@ -91,8 +91,21 @@
 }  # fmt: skip
 
 
+def shape_of(value: Any) -> Any:
+    """Return what ``check_shape`` needs of a configuration: of a list's rows only the entries of all of them.
+
+    The rows themselves, such as those of the endpoint list, are not kept.
+    """
+    if isinstance(value, dict):
+        return {key: shape_of(item) for key, item in value.items()}
+    rows = [row for row in value if isinstance(row, dict)] if isinstance(value, list) else []
+    if not rows:
+        return value
+    return [{key: shape_of(item) for key, item in rows[0].items() if all(key in row for row in rows)}]
+
+
 def check_shape(old: Any, new: Any, path: str = "") -> None:
-    """Check that a new configuration has all keys of the old one, with values of the same JSON types.
+    """Check that a new configuration has all keys of the old one's shape, with values of the same JSON types.
 
     Reading replaces missing keys by defaults, so that without this check a file that lost a key would be
     accepted.  ``path`` is the prefix of the entries' names.  Raises ConfigError, which names the entry.
@@ -104,11 +117,9 @@
             elif key not in OPTIONAL_KEYS:
                 raise ConfigError(f"{path}{key}: the entry is missing, but the configuration in force has it")
     elif isinstance(old, list) and isinstance(new, list):
-        rows = [row for row in old if isinstance(row, dict)]
-        first = rows[0] if rows else {}
-        shared = {key: value for key, value in first.items() if all(key in row for row in rows)}
-        for n, row in enumerate(new if rows else []):
-            check_shape(shared, row, f"{path}{n}.")
+        rows = shape_of(old)
+        for n, row in enumerate(new if rows and isinstance(rows[0], dict) else []):
+            check_shape(rows[0], row, f"{path}{n}.")
     elif _json_type(old) != _json_type(new) and old is not None:
         raise ConfigError(f"{path.rstrip('.')}: expected a value like {old!r}, got {new!r}")
 
@@ -189,7 +200,7 @@
             kinds=[str(kind) for kind in settings.get("flavors", [])],
             pushed=settings.get("discovery", "push") != "ask",
             folder=environ.get("TMPDIR") or None,
-            raw=data,
+            shape=shape_of(data),
         )
     except (BadList, WireError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(str(error)) from None
--- a/gaugesail/http/discovery.py
+++ b/gaugesail/http/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -63,7 +64,7 @@
         self._update_addresses = update_addresses
         self._update_endpoints = update_endpoints
         self._revision = 0
-        self._members: dict[str, Any] = {}  # the current list in discovery's JSON form, by id
+        self._members: dict[str, bytes] = {}  # the current list, as discovery's JSON, by id
         self._pushed = settings.pushed_grace_us is not None
         # An agent answers at once and at no cost.  A silent agent has lost its own source, and the gateway
         # must respect a list as soon as the agent receives it: a call must be open at that moment, or be made
@@ -106,7 +107,8 @@
     @property
     def latest(self) -> dict[str, Any]:
         """The current endpoint list in discovery's JSON form, for the next process of this gateway."""
-        return {"revision": self._revision, "complete": True, "members": list(self._members.values())}
+        members = [json.loads(member) for member in self._members.values()]
+        return {"revision": self._revision, "complete": True, "members": members}
 
     def receive(self, data: Any, since: int = 0) -> int:
         """Apply a full list, or the changes after ``since``; return its revision.  Raises BadList."""
@@ -131,7 +133,8 @@
             if member["phase"] == "Gone":
                 self._members.pop(member["id"], None)
             else:
-                self._members[member["id"]] = member
+                # The text of a member takes half of the memory of its parsed form.
+                self._members[member["id"]] = json.dumps(member, separators=(",", ":")).encode()
 
     def _report(self, listed: ListedEndpoints) -> None:
         self._update_addresses(listed.addresses, listed.full)
--- a/tests/process/test_operations.py
+++ b/tests/process/test_operations.py
@@ -19,6 +19,7 @@
 from gaugesail.operations import Operations, StateNotKnown
 from gaugesail.policy.events import Endpoint, EndpointList, EndpointListKind, EndpointState
 from gaugesail.policy.settings import DeduplicationScope, Idempotency, Plan, RequestClass, Settings
+from gaugesail.rehearsal import defaults
 from gaugesail.rehearsal.memory import MemoryReactor
 from gaugesail.rehearsal.scenario import split
 from gaugesail.rehearsal.worlds import MemoryWorld, rehearse
@@ -167,9 +168,18 @@
     assert not (tmp_path / "gaugesail-127.0.0.1-9000.sock").is_symlink()
 
 
+def config_of(gateway: Any) -> dict[str, Any]:
+    """The configuration that ``play`` has given to a gateway."""
+    return {
+        "name": "rehearsed", "listen": "127.0.0.1:0", "discovery": gateway.discovery.host, "seed": "7",
+        "management": "127.0.0.1:0", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": gateway.discovery.latest, "settings": defaults.settings(),
+    }  # fmt: skip
+
+
 def test_an_invalid_configuration_is_not_applied_on_reload(tmp_path: Path) -> None:
     gateway = play("brick b1\nclient c1\nsend c1 get /_health\nexpect c1 200").gateway
-    file, good, wanted = tmp_path / "config.json", json.dumps(gateway._config.raw), gateway._latest_settings
+    file, good, wanted = tmp_path / "config.json", json.dumps(config_of(gateway)), gateway._latest_settings
     noise = good.replace('"read"', '"reads"')
     reads = noise.replace('"worth"', '"gain"')
     renamed = noise.replace('"give_up_us"', '"give_up"', 1)
@@ -201,6 +211,16 @@
             config.check_shape(old, old | change)
 
 
+def test_the_shape_of_a_configuration_holds_no_rows_of_its_lists() -> None:
+    """Guards against a long endpoint list that stays in memory for a later reload's check."""
+    rows = [{"x": number, "y": {"z": number}} for number in range(100)]
+    shape = config.shape_of({"known": {"members": [*rows, {"x": 1}]}, "listed": rows, "zones": ["a", "b"]})
+    assert shape == {
+        "known": {"members": [{"x": 0}]}, "listed": [{"x": 0, "y": {"z": 0}}], "zones": ["a", "b"],
+    }  # fmt: skip
+    assert config.shape_of(shape) == shape
+
+
 def test_during_a_transition_the_stricter_settings_apply() -> None:
     read, write = (
         RequestClass("read", 5, 50),
