Let no time of a request run while its client still sends the body

What callers saw: a small write whose body came in two pieces was refused after 6 to 100 ms, before its second piece, if the process was busy; in the soak a later request on that connection then had no answer. Cause: a wait of the client for its turn counted as a time in which its bytes may have stood in its own kernel, for 100 ms after it, so that the timer of a body took the first piece's arrival for that of the last byte. And the soak's client used a connection again whose body it had not finished after an early answer. Change: a pause counts only if 16 KiB or more stood unread at its end (SIOCINQ): fewer hold nothing back at the client. A timer does not end a request while its client has yet to send, and looks each 5 ms at most. The soak's client closes such a connection, as it did after large requests. Result: both cases of the test in tests/http/test_late_process.py failed before and pass.

--- a/gaugesail/http/client_input.py
+++ b/gaugesail/http/client_input.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ..net import kernel_wait_us
+from ..net import kernel_wait_us, unread_bytes
 from ..peer_progress import PeerProgress
 from .arrival_times import ArrivalMark, ArrivalTimes
 from .client_limits import MAX_PIPELINED_EXCESS_BYTES
@@ -80,7 +80,7 @@
         if not self.stopped:
             self.since_us += now_us - self._stopped_at_us  # the gateway's pauses do not count
             self.steps.begin(now_us)
-            self.last_byte.resumed(now_us)
+            self.last_byte.resumed(now_us, unread_bytes(link))
             link.resumeProducing()
         return now_us
 
--- a/gaugesail/http/last_byte_time.py
+++ b/gaugesail/http/last_byte_time.py
@@ -12,6 +12,7 @@
 # The client has sent nothing if its socket stays empty for so long, and was read all the time before.
 EMPTY_US = 3_000
 READ_BEFORE_US = 100_000
+HELD_BACK_BYTES = 16 * 1024  # unread by us: a peer may have more to send than its window allows
 
 
 class LastByteTime:
@@ -20,6 +21,7 @@
     def __init__(self) -> None:
         self._after_us: int | None = None
         self._read_since_us: int | None = 0  # None: nothing is read now
+        self._read_before_pause_us = 0  # ``_read_since_us`` at the latest pause
         self._emptied_us: int | None = None  # when the latest read left nothing in the socket
 
     def after_us(self, now_us: int) -> int:
@@ -48,11 +50,18 @@
 
     def paused(self) -> None:
         """Note that nothing is read from now on."""
+        if self._read_since_us is not None:
+            self._read_before_pause_us = self._read_since_us
         self._read_since_us = self._emptied_us = None
 
-    def resumed(self, now_us: int) -> None:
-        """Note that the client is read again."""
-        self._read_since_us = now_us
+    def resumed(self, now_us: int, unread_bytes: int | None) -> None:
+        """Note that the client is read again.
+
+        :param unread_bytes: in its socket; None if that is not known.  Few have held nothing back at the
+            client, so that the pause does not count.
+        """
+        is_held_back = unread_bytes is None or unread_bytes >= HELD_BACK_BYTES
+        self._read_since_us = now_us if is_held_back else self._read_before_pause_us
 
     def restore(self, arrived_us: int) -> None:
         """Begin with input of another process, the latest of which came at ``arrived_us``."""
--- a/gaugesail/http/upload_timer.py
+++ b/gaugesail/http/upload_timer.py
@@ -7,6 +7,8 @@
 from ..core.ports import Clock, DelayedCall
 from .last_byte_time import LastByteTime
 
+CHECK_INTERVAL_US = 5_000  # shortest, while the client still sends a request of less time
+
 
 class UploadTimer:
     """Calls ``expired`` when a client may have waited for ``allowed_us`` microseconds.
@@ -43,13 +45,17 @@
             call.cancel()
 
     def _schedule(self) -> None:
-        self._call = self._clock.call_later(max(0, self._due_us - self._clock.now_us()), self._check)
+        self._call = self._clock.call_later(
+            max(CHECK_INTERVAL_US, self._due_us - self._clock.now_us()), self._check
+        )
 
     def _check(self) -> None:
         self._call = None
+        now_us = self._clock.now_us()
         if self._is_empty():
-            self._last_byte.note_empty(self._clock.now_us())
-        if self._clock.now_us() >= self._due_us:
+            self._last_byte.note_empty(now_us)
+        waits_for_client = self._last_byte.after_us(now_us) >= now_us
+        if now_us >= self._due_us and not waits_for_client:
             self._expired()
         else:
             self._schedule()
--- a/gaugesail/net.py
+++ b/gaugesail/net.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import resource
 import select
 import socket
 import struct
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -21,6 +23,7 @@
 MAX_POLL_AGE_US = 40_000  # if the latest reactor iteration is older, the socket in question is polled itself
 MIN_KERNEL_WAIT_MS = 20  # shorter waits are negligible
 MAX_KERNEL_WAIT_MS = 60_000  # no client waits longer: a larger value is ignored
+_INTEGER = struct.Struct("i")
 _TCP_INFO = struct.Struct("=52xI")  # struct tcp_info up to tcpi_last_data_recv, milliseconds
 POLL_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -127,6 +130,27 @@
     return bool(_poll_events(link) & (POLL_ENDED | select.POLLIN))
 
 
+def unread_bytes(link: Any) -> int | None:
+    """The received bytes that were not read; None if that is not known (tcp(7), ``SIOCINQ``)."""
+    return _queued_bytes(link, termios.FIONREAD)
+
+
+def unacknowledged_kernel_bytes(link: Any) -> int | None:
+    """The bytes in the kernel that the peer has not acknowledged; None if not known (``SIOCOUTQ``)."""
+    return _queued_bytes(link, termios.TIOCOUTQ)
+
+
+def _queued_bytes(link: Any, request: int) -> int | None:
+    connection = kernel_socket(link)
+    if connection is None:
+        return None
+    try:
+        answer = fcntl.ioctl(connection, request, bytes(_INTEGER.size))
+    except OSError:
+        return None
+    return int(_INTEGER.unpack(answer)[0])
+
+
 def read_now(link: Any) -> None:
     """Read what a connection has received, unless it has ended: that is left to the reactor."""
     if _poll_events(link) == select.POLLIN:
--- a/gaugesail/output_progress.py
+++ b/gaugesail/output_progress.py
@@ -7,30 +7,20 @@
 
 from __future__ import annotations
 
-import fcntl
-import struct
-import termios
 from typing import Any
 
 from .core.ports import Clock
-from .net import kernel_socket, unsent_bytes
+from .net import unacknowledged_kernel_bytes, unsent_bytes
 from .peer_progress import PeerProgress
 
 UNREAD_US = 60_000_000  # a client that reads nothing for longer is treated as lost
 FIN_BYTES = 1  # the kernel counts a FIN as one byte until it is acknowledged
-_INTEGER = struct.Struct("i")
 
 
 def unacknowledged_bytes(link: Any) -> int | None:
     """The bytes written to a transport that its peer has not acknowledged; None if that is not known."""
-    connection = kernel_socket(link)
-    if connection is None:
-        return None
-    try:
-        queued = _INTEGER.unpack(fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(_INTEGER.size)))[0]
-    except OSError:
-        return None
-    return int(queued) + unsent_bytes(link)
+    queued = unacknowledged_kernel_bytes(link)
+    return None if queued is None else queued + unsent_bytes(link)
 
 
 class OutputProgress:
--- a/gaugesail/rehearsal/soak/clients.py
+++ b/gaugesail/rehearsal/soak/clients.py
@@ -149,6 +149,7 @@
         elif self._rng.random() < 0.05 and len(new.text) > 40:  # a client that writes in two pieces
             cut = self._rng.randrange(1, len(new.text))
             connection.link.write(new.text[:cut])
+            request.is_written = False
             self.reactor.callLater(
                 self._rng.uniform(0.0, 0.02), self._send_rest, connection, request, new.text[cut:]
             )
@@ -174,10 +175,10 @@
             lambda: self._judge.request_written(request),
         ).write()
 
-    @staticmethod
-    def _send_rest(connection: SoakConnection, request: SentRequest, rest: bytes) -> None:
+    def _send_rest(self, connection: SoakConnection, request: SentRequest, rest: bytes) -> None:
         if connection.request is request and not connection.lost:
             connection.link.write(rest)
+            self._judge.request_written(request)
 
     def _leave(self, connection: SoakConnection, request: SentRequest) -> None:
         if connection.request is not request or connection not in self._open:
--- a/tests/http/test_last_byte_time.py
+++ b/tests/http/test_last_byte_time.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gaugesail.http.last_byte_time import EMPTY_US, READ_BEFORE_US, LastByteTime
+from gaugesail.http.last_byte_time import EMPTY_US, HELD_BACK_BYTES, READ_BEFORE_US, LastByteTime
 
 AT_US = 10_000_000
 REST_US = 500_000
@@ -48,7 +48,7 @@
     if by == "pause":
         last_byte.paused()
         last_byte.note_empty(again_us)
-        last_byte.resumed(again_us)
+        last_byte.resumed(again_us, HELD_BACK_BYTES)
     else:
         last_byte.received(again_us, AT_US, False)
     last_byte.received(again_us, again_us, True)
@@ -57,6 +57,20 @@
     assert last_byte.after_us(again_us + after_us) == (again_us + after_us if moved else AT_US)
 
 
+@pytest.mark.parametrize(("unread_bytes", "moves"), [
+    (0, True), (HELD_BACK_BYTES - 1, True), (HELD_BACK_BYTES, False), (None, False),
+])  # fmt: skip
+def test_a_pause_counts_unless_the_client_can_have_held_nothing_back(
+    unread_bytes: int | None, moves: bool
+) -> None:
+    last_byte = read_at(AT_US)
+    again_us = AT_US + REST_US
+    last_byte.paused()
+    last_byte.resumed(again_us, unread_bytes)
+    last_byte.note_empty(again_us + EMPTY_US)
+    assert last_byte.after_us(again_us + EMPTY_US) == (again_us + EMPTY_US if moves else AT_US)
+
+
 def test_a_slow_client_of_a_busy_process_moves_it() -> None:
     """Guards against a large request that is refused as each of its short pieces waits a little."""
     last_byte = read_at(AT_US)
--- a/tests/http/test_late_process.py
+++ b/tests/http/test_late_process.py
@@ -51,6 +51,29 @@
         client.read_until(b"\r\n\r\nok")
 
 
+@pytest.mark.parametrize("timeout_ms", [3, 50])
+def test_a_short_time_does_not_run_while_the_rest_of_a_body_is_to_come(timeout_ms: int) -> None:
+    """Guards against refusing a request that its client still writes, as it had to wait for its turn."""
+    with gateway_rig() as rig:
+        client = rig.client()
+        message = put(rig, "a", b"x" * 3_000, timeout_ms / 1000)
+        client.send(message[:-300])
+        rig.turn(5)
+        (connection,) = rig.gateway.front._open
+        connection.wait_for_turn()
+        rig.pass_time(0.002)
+        connection.take_turn()
+        rig.pass_time(0.5)
+        assert not client.read()
+        client.send(message[-300:])
+        if timeout_ms == 50:
+            rig.nodes[0].answer("a")
+        assert rig.until(lambda: b"HTTP/1.1 " in client.read(), 0.6)
+        client.send(rig.request("b"))
+        rig.nodes[0].answer("b")
+        client.read_until(b"\r\n\r\nok")
+
+
 def test_answers_that_are_due_come_before_more_of_many_bodies_is_read() -> None:
     """Guards against a pass over many uploads that takes so long that answers come after their time."""
     with gateway_rig() as rig:
