Hold a process to a list that only the next one has from 2 s after that serves

Cause: the soak took a gateway for told of a drain as soon as any of its processes had the list. With a watch that had fallen silent, the first process was held to what the second had received as it started. Change: what is sent while a further process starts binds 2 s after it serves; all else as before.

--- a/gaugesail/rehearsal/soak/heads.py
+++ b/gaugesail/rehearsal/soak/heads.py
@@ -237,8 +237,14 @@
         self.write_config()
         self._read_log()
         self._listening = False
+        self.discovery.further_process_starts()
         self.process.start()
-        self._await_ready(self.reactor.seconds(), ready)
+
+        def serves() -> None:
+            self.discovery.further_process_serves()
+            ready()
+
+        self._await_ready(self.reactor.seconds(), serves)
         return running
 
     def kill(self) -> None:
