Let requests wait for a connection while all that there may be are in use

What callers saw: with more servers in use than connections to servers (30 % of the descriptors), a request to a server without one was refused within a second, although its client had more time and connections got free; with few servers it waits for one of its server's own. Its server counted as failing after four such attempts. Cause: a limit of ours that refuses what the peer would do: the pool ended the request at once if it could not dial, and the engine told that from a failed connection by nothing. Change: such nodes wait in the order in which they came, for the next connection that ends or rests (http/waiting_nodes.py). The attempt has its request's whole time, as it has not begun, and ends as NOT_STARTED, which says nothing of its node.

--- a/gaugesail/core/attempts.py
+++ b/gaugesail/core/attempts.py
@@ -151,7 +151,7 @@
         """Abort an attempt at its deadline, unless its answer is being streamed.
 
         One whose answer has begun to arrive has the rest of its request's time, and is passed on then unless
-        it is known to be short.
+        it is known to be short.  So has one that has not begun, as the gateway has no connection for it.
         """
         is_outdated = self.clock.now_us() < attempt.deadline_us  # it has been given another since
         if attempt.ended or attempt.answer_started or is_outdated:
@@ -160,10 +160,11 @@
         if attempt.ended or attempt.answer_started:
             return
         entry = self.table.open.get(attempt.request_id)
-        if attempt.answer_begun and entry is not None:
+        goes_on = attempt.answer_begun or self.transport.is_held_back(attempt)
+        if goes_on and entry is not None:
             last_us = entry.deadline_us - ANSWER_MARGIN_US
             if attempt.deadline_us < last_us:
-                self.activity.counts["answer_awaited"] += 1
+                self.activity.counts["answer_awaited"] += attempt.answer_begun
                 attempt.deadline_us = last_us
                 self.deadlines.add(last_us, AttemptDeadline(attempt))
                 return
@@ -202,13 +203,15 @@
         """End an attempt; its connection is aborted before anything else may be sent.
 
         If its last byte was never written, for example as the connection was not established in time, the
-        attempt cannot have run and ends as NO_CONNECTION.
+        attempt cannot have run and ends as NO_CONNECTION; as NOT_STARTED, which says nothing of its node, if
+        the gateway itself had no connection for it.
         """
         if attempt.answer_begun:
             self._report_answer_given_up(attempt, result)
         try:
+            held_back = self.transport.is_held_back(attempt)
             if self.transport.abort(attempt) is False:
-                result = AttemptResult.NO_CONNECTION
+                result = AttemptResult.NOT_STARTED if held_back else AttemptResult.NO_CONNECTION
         except Exception as error:  # the result is reported in any case
             self.activity.fault("abort_raised", error)
         self.attempt_ended(attempt, result)
--- a/gaugesail/core/ports.py
+++ b/gaugesail/core/ports.py
@@ -248,6 +248,10 @@
         """Abort an attempt if its last byte has not been written; returns whether it was aborted."""
         ...
 
+    def is_held_back(self, attempt: Attempt) -> bool:
+        """Whether an attempt has not begun for want of a connection that the gateway itself may open."""
+        ...
+
     def read_now(self, attempt: Attempt) -> None:
         """Read what has arrived of an attempt's answer, as its time ends."""
         ...
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -16,7 +16,17 @@
 from gaugesail.policy.settings import NodeId
 
 from ..buffers import BufferPool
-from ..core.ports import Attempt, AttemptListener, BodySink, BodySource, ClientRequest, Clock, Logger, Reactor
+from ..core.ports import (
+    Attempt,
+    AttemptListener,
+    BodySink,
+    BodySource,
+    ClientRequest,
+    Clock,
+    DelayedCall,
+    Logger,
+    Reactor,
+)
 from ..memory_holders import stalled_longest_first
 from ..net import attach, dial, read_now
 from .connection_table import ConnectionTable
@@ -29,6 +39,7 @@
 from .staged_upload import StagedUpload
 from .stream_end import StreamEnd
 from .stream_handover import NodeStreamState
+from .waiting_nodes import WaitingNodes
 
 IDLE_SHARE = 0.6  # of the node's idle timeout: a request written as the node closes would be reset
 MAX_DIALS = 8  # concurrent dials per node
@@ -61,6 +72,8 @@
         self._nodes: dict[NodeId, NodeState] = {}
         self._unlisted: set[NodeId] = set()  # of them: without an address
         self._table = ConnectionTable()
+        self._waiting = WaitingNodes()  # as all connections that there may be are in use
+        self._waiting_call: DelayedCall | None = None
         self._in_maintenance: set[NodeId] = set()
         self._closing = False
         self.idle_times = IdleTimes()
@@ -85,6 +98,7 @@
         self._adopted.clear()
         while self.connections > self._max_connections and self._close_longest_idle():
             pass
+        self._schedule_waiting()
 
     # ---- the endpoint list ----
 
@@ -233,6 +247,11 @@
         connection = attempt.connection
         return isinstance(connection, NodeConnection) and connection.pass_on()
 
+    def is_held_back(self, attempt: Attempt) -> bool:
+        """Whether an attempt waits as all connections that there may be are in use."""
+        node = self._nodes.get(attempt.node_id)
+        return attempt.connection is None and node is not None and node in self._waiting
+
     def describe_answer(self, attempt: Attempt) -> str:
         """Describe what has arrived of an attempt's answer, for the log."""
         connection = attempt.connection
@@ -346,11 +365,37 @@
         address = self._usable_address(node.node_id)
         if address is None or not self._needs_dial(node):
             return
-        most = self._max_connections + len(self._adopted)
-        if self.connections >= most and not (self._close_longest_idle() or self._end_longest_rest()):
-            if not node.connections:  # none could become free for it
-                self.finish(node.pending.popleft(), AttemptResult.NO_CONNECTION)
+        if self._waiting or not self._make_room():
+            if not node.connections:  # it has none that could become free
+                self._waiting.add(node)
+                self._schedule_waiting()
             return
+        self._open(node, address)
+
+    def _make_room(self) -> bool:
+        """Whether another connection may be opened; closes one for it if need be."""
+        if self.connections < self._max_connections + len(self._adopted):
+            return True
+        return self._close_longest_idle() or self._end_longest_rest()
+
+    def _schedule_waiting(self) -> None:
+        """Look soon whether the nodes that wait may have a connection; called when one may have got free."""
+        if self._waiting and self._waiting_call is None:
+            self._waiting_call = self.clock.call_later(0, self._dial_waiting)
+
+    def _dial_waiting(self) -> None:
+        """Dial the nodes that wait, as long as there is room."""
+        self._waiting_call = None
+        while (node := self._waiting.first) is not None:
+            self._drop_obsolete(node)
+            address = self._usable_address(node.node_id)
+            if node.pending and address is not None and not self._closing:
+                if not self._make_room():
+                    return
+                self._open(node, address)
+            self._waiting.discard(node)
+
+    def _open(self, node: NodeState, address: NodeAddress) -> None:
         generation = node.generation
         dialled = dial(
             self._reactor,
@@ -387,15 +432,20 @@
     def _dial_ended(self, node: NodeState, dialled: Deferred[Any]) -> None:
         node.dials.discard(dialled)
         self._table.dials -= 1
+        self._schedule_waiting()
 
     def _dial_unsuccessful(self, node: NodeState) -> None:
         """End the oldest pending request if no dial or idle connection is left for it."""
-        while node.pending and node.pending[0].obsolete:
-            node.pending.popleft()
+        self._drop_obsolete(node)
         if len(node.pending) > len(node.dials) + len(node.idle):
             self.finish(node.pending.popleft(), AttemptResult.NO_CONNECTION)
         self._dial(node)
 
+    @staticmethod
+    def _drop_obsolete(node: NodeState) -> None:
+        while node.pending and node.pending[0].obsolete:
+            node.pending.popleft()
+
     def _dial_raised(self, failure: Failure) -> None:
         self._log.error("dial_raised", error=repr(failure.value))
 
@@ -425,6 +475,7 @@
         connection.node.idle.append(connection)
         self._table.add_idle(connection)
         self._start_pending(connection.node)
+        self._schedule_waiting()
 
     def connection_ended(self, connection: NodeConnection) -> None:
         """Forget a closed connection; pending requests may need a new one."""
@@ -436,6 +487,7 @@
             node.idle.remove(connection)
         if node.pending and node.wakeup is None:
             node.wakeup = self.clock.call_later(0, lambda: self._wake(node))
+        self._schedule_waiting()
 
     def _end_longest_rest(self) -> bool:
         """Break off the answer that has rested for longest, as its connection is needed.
--- a/gaugesail/iscsi/initiator.py
+++ b/gaugesail/iscsi/initiator.py
@@ -151,6 +151,10 @@
             return True
         return False
 
+    def is_held_back(self, attempt: Attempt) -> bool:
+        """Return False: each node has one session, and there is room for all of them."""
+        return False
+
     def read_now(self, attempt: Attempt) -> None:
         """Do nothing: the session serves other commands too."""
 
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -39,7 +39,7 @@
         self.events: list[Event] = []
         self.answers: list[tuple[str, Any]] = []
         self.script: dict[type, list[Action]] = {}
-        self.disconnected = self.unwritten = False
+        self.disconnected = self.unwritten = self.held_back = False
         transport: Any = self
         self.engine = Engine(SETTINGS, 1, self.clock, transport, transport, make_logger(io.StringIO()), 4)
         gateway: Any = self
@@ -56,8 +56,12 @@
     def send(self, attempt: Attempt, sink: Any) -> None:
         self.sent.append(attempt)
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort(self, attempt: Attempt) -> bool:
         self.aborted.append(attempt)
+        return not self.held_back
+
+    def is_held_back(self, attempt: Attempt) -> bool:
+        return self.held_back
 
     def read_now(self, attempt: Attempt) -> None:
         """Nothing arrives here unread."""
@@ -104,6 +108,16 @@
     assert len(rig.sent) == 1 and rig.outcomes() == [AttemptResult.NOT_STARTED]
 
 
+def test_an_attempt_without_a_connection_to_begin_on_has_all_of_its_requests_time() -> None:
+    rig = Rig()
+    rig.held_back = True
+    rig.submit(StartAttempt(1, NODE, 300_000))
+    rig.reactor.advance(0.9)
+    assert not rig.aborted
+    rig.reactor.advance(0.2)
+    assert len(rig.aborted) == 1 and rig.outcomes() == [AttemptResult.NOT_STARTED]
+
+
 def test_attempts_beyond_the_limit_are_not_sent() -> None:
     rig = Rig()
     rig.submit(StartAttempt(1, NODE))
