--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -484,7 +484,7 @@
 
     def reset_if_killed(self) -> None:
         """Let the end of the process reset the connection if only its close tells the end of the answer."""
-        if self.stream is not None and self.stream.ends_by_close:
+        if self.stream is not None and self.stream.ends_by_close and not self._resets_if_killed:
             self._resets_if_killed = True
             reset_on_close(self.link, True)
 
--- a/gaugesail/http/node_pool.py
+++ b/gaugesail/http/node_pool.py
@@ -365,7 +365,7 @@
         address = self._usable_address(node.node_id)
         if address is None or not self._needs_dial(node):
             return
-        if self._waiting or not self._make_room():
+        if self._longest_waiting() is not None or not self._make_room():
             if not node.connections:  # it has none that could become free
                 self._waiting.add(node)
                 self._schedule_waiting()
@@ -386,14 +386,20 @@
     def _dial_waiting(self) -> None:
         """Dial the nodes that wait, as long as there is room."""
         self._waiting_call = None
-        while (node := self._waiting.first) is not None:
-            self._drop_obsolete(node)
+        while (node := self._longest_waiting()) is not None and self._make_room():
+            self._waiting.discard(node)
             address = self._usable_address(node.node_id)
-            if node.pending and address is not None and not self._closing:
-                if not self._make_room():
-                    return
+            if address is not None and not self._closing:
                 self._open(node, address)
+
+    def _longest_waiting(self) -> NodeState | None:
+        """The node that has waited for longest; those of which no request waits any more are forgotten."""
+        while (node := self._waiting.first) is not None:
+            self._drop_obsolete(node)
+            if node.pending:
+                return node
             self._waiting.discard(node)
+        return None
 
     def _open(self, node: NodeState, address: NodeAddress) -> None:
         generation = node.generation
@@ -528,6 +534,7 @@
             idle.abort()
         for node_id in list(self._unlisted):
             self._forget_unlisted(node_id)
+        self._schedule_waiting()  # an answer may rest for so long by now that its connection is needed
 
     def _is_idle_too_long(self, connection: NodeConnection, now_us: int) -> bool:
         return now_us - connection.idle_since_us >= self._idle_us
--- a/tests/http/test_connection_limit.py
+++ b/tests/http/test_connection_limit.py
@@ -103,6 +103,16 @@
         assert not client.read().startswith(b"HTTP/1.1 200 ")
 
 
+def test_a_node_that_waits_gets_the_connection_of_an_answer_that_rests_for_long() -> None:
+    """Guards against a wait that nothing ends, as no connection gets free by itself."""
+    with full_pool() as pool:
+        for end in pool.rig.nodes[0].connections:
+            end.send(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"x" * 100_000)
+        pool.rig.pass_time(9.0)
+        client = pool.ask("a", MOST, 3_000)
+        pool.answer("a", client)
+
+
 def test_a_client_that_leaves_gives_its_turn_to_the_next() -> None:
     with full_pool() as pool:
         pool.ask("a", MOST).fin()
