Count attempts that no connection got free for

Need: an attempt that waited for its client's whole time, as all connections to nodes were in use, ended as attempt_not_started, which has other causes too. Result: asserted in tests/http/test_connection_limit.py.

--- a/gaugesail/core/attempts.py
+++ b/gaugesail/core/attempts.py
@@ -212,6 +212,7 @@
             held_back = self.transport.is_held_back(attempt)
             if self.transport.abort(attempt) is False:
                 result = AttemptResult.NOT_STARTED if held_back else AttemptResult.NO_CONNECTION
+                self.activity.counts["no_connection_free"] += held_back
         except Exception as error:  # the result is reported in any case
             self.activity.fault("abort_raised", error)
         self.attempt_ended(attempt, result)
--- a/tests/http/test_connection_limit.py
+++ b/tests/http/test_connection_limit.py
@@ -85,6 +85,7 @@
             assert pool.rig.until(lambda client=client: bool(client.read()), 0.61)  # type: ignore[misc]
             assert client.text.startswith(b"HTTP/1.1 503 ")
         assert not sum(pool.rig.nodes[0].received(f"a{number}") for number in range(8))
+        assert pool.counts["no_connection_free"] > 0
         pool.answer("out0", pool.out[0])
         client = pool.ask("later", MOST)
         pool.answer("later", client)
