--- a/tests/iscsi/test_aborted_writes.py
+++ b/tests/iscsi/test_aborted_writes.py
@@ -19,6 +19,16 @@
     return client
 
 
+def client_with_read_beside_an_abort(rig: Rig) -> IscsiClient:
+    """A client with a read in flight at a node that owes the response to the abort of a write."""
+    client = client_with_write(rig)
+    client.send(["read", "tag=10", "lba=5"])
+    assert rig.until(lambda: "lba=5" in rig.received())
+    rig.node.send(["mute"])
+    send(client, "abort", "9")
+    return client
+
+
 def send(client: IscsiClient, *words: str) -> None:
     client.send(list(words))
     push(client._connection)
@@ -106,11 +116,7 @@
 def test_a_read_that_its_node_still_works_on_is_served_beside_an_abort_without_a_response() -> None:
     """Guards against a session that is dropped with the commands in flight, 1 s after an abort."""
     with rigged() as rig:
-        client = client_with_write(rig)
-        client.send(["read", "tag=10", "lba=5"])
-        assert rig.until(lambda: "lba=5" in rig.received())
-        rig.node.send(["mute"])
-        send(client, "abort", "9")
+        client = client_with_read_beside_an_abort(rig)
         rig.pass_time(1.3 * ABORT_TIMEOUT_S)
         rig.answer_held()
         assert rig.until(lambda: bool(words_of(client, "good")))
@@ -119,11 +125,7 @@
 
 def test_no_command_is_sent_to_a_silent_node_that_owes_a_response() -> None:
     with rigged() as rig:
-        client = client_with_write(rig)
-        client.send(["read", "tag=10", "lba=5"])
-        assert rig.until(lambda: "lba=5" in rig.received())
-        rig.node.send(["mute"])
-        send(client, "abort", "9")
+        client = client_with_read_beside_an_abort(rig)
         rig.pass_time(1.2 * ABORT_TIMEOUT_S)
         client.send(["read", "tag=11", "lba=6"])
         rig.pass_time(0.1)
