Check all rows of a reloaded file again, not only the shape of its first ones

Cause: the check got the new file's shape, which holds one row of each list, in place of the file. Change: a configuration keeps what was read until it is in force, and the shape from then on; the check sees the new file whole, as before.

--- a/gaugesail/app.py
+++ b/gaugesail/app.py
@@ -25,7 +25,7 @@
 
 HANDOVER_RETRY_US = 5_000  # until the next look whether the successor takes more answers
 RELOADABLE_ENTRIES = {  # fields of Config that are applied at run time, or needed only at startup
-    "discovery", "known", "seed", "settings", "conn_idle_us", "connect_timeout_us", "zones", "kinds", "shape",
+    "discovery", "known", "seed", "settings", "conn_idle_us", "connect_timeout_us", "zones", "kinds", "raw",
 }  # fmt: skip
 
 
@@ -102,7 +102,7 @@
         """The predecessor's endpoint list if it used the same discovery service, else the configured one."""
         # Revisions of different discovery services cannot be compared.
         same = handed_over.get("discovery") == self.discovery.host
-        known, self._config = self._config.known, replace(self._config, known=None)
+        known, self._config = self._config.known, configuration.in_force(self._config)
         endpoints: EndpointList = self.discovery.load_cached(handed_over["list"] if same else known)
         return endpoints
 
@@ -197,9 +197,9 @@
 
         Raises ConfigError, and applies nothing, if it is not.
         """
-        configuration.check_shape(self._config.shape, config.shape)
+        configuration.check_shape(self._config.raw, config.raw)
         self._warn_of_restart(self._config, config, RELOADABLE_ENTRIES)
-        self._config = replace(config, limits=self._config.limits, known=None)
+        self._config = configuration.in_force(replace(config, limits=self._config.limits))
         self.transport.change_timeouts(config.conn_idle_us, config.connect_timeout_us)
         self.discovery.change_names(config.zones, config.kinds)
         self.discovery.change_address(config.discovery)
--- a/gaugesail/config.py
+++ b/gaugesail/config.py
@@ -82,7 +82,12 @@
     kinds: list[str]
     pushed: bool  # a local agent pushes endpoint lists, which are in force once the agent has them
     folder: str | None  # shared by the processes of this gateway, for handover and state
-    shape: dict[str, Any]  # of the JSON that was read, for ``check_shape``
+    raw: dict[str, Any]  # the JSON that was read; once the configuration is in force, its shape
+
+
+def in_force(config: Config) -> Config:
+    """Return a configuration without what only its start or its check needs: a list may be long."""
+    return replace(config, raw=shape_of(config.raw), known=None)
 
 
 # Keys that the protocol defines as optional; a new file must have all other keys of the one in force.
@@ -200,7 +205,7 @@
             kinds=[str(kind) for kind in settings.get("flavors", [])],
             pushed=settings.get("discovery", "push") != "ask",
             folder=environ.get("TMPDIR") or None,
-            shape=shape_of(data),
+            raw=data,
         )
     except (BadList, WireError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(str(error)) from None
--- a/tests/process/test_operations.py
+++ b/tests/process/test_operations.py
@@ -194,6 +194,21 @@
     assert gateway.engine.settings.classes[0].name == "reads" and "event=reloaded" in last_line(gateway)
 
 
+@pytest.mark.parametrize("row", [{"cell": "x"}, {"phase": 5}, None], ids=["text", "number", "no object"])
+def test_a_later_row_of_a_list_with_another_type_is_not_applied_on_reload(
+    tmp_path: Path, row: dict[str, Any] | None
+) -> None:
+    """Guards against a check of the first row alone, as only the shape of the file in force is kept."""
+    gateway = play("brick b1\nbrick b2\nclient c1\nsend c1 get /_health\nexpect c1 200").gateway
+    file, changed = tmp_path / "config.json", config_of(gateway)
+    for expected in ("reloaded", "bad_configuration"):
+        file.write_text(json.dumps(changed))
+        gateway.reload_from(lambda: config.load({"BALANCER_CONFIG": str(file)}))
+        assert f"event={expected}" in last_line(gateway)
+        members = changed["known"]["members"]
+        members[-1] = members[-1] | row if row is not None else "gone"
+
+
 def last_line(gateway: Any) -> str:
     text: str = gateway._log._log._logger._file.getvalue()
     return text.splitlines()[-1]
