Hand a connection over without the reset that a kill would have made of it

Cause: from 50 ms before the kill on, an answer that only its close ends has SO_LINGER set, which stays with the descriptor: handed over after that, its orderly end in the next process could be a reset. Change: the hand-over clears it, as the end of the answer does. Result: the test in tests/http/test_stream_moves.py found the option set before, and passes.

--- a/gaugesail/http/client_connection.py
+++ b/gaugesail/http/client_connection.py
@@ -488,12 +488,15 @@
             self._resets_if_killed = True
             reset_on_close(self.link, True)
 
-    def stream_finished(self) -> None:
-        """The streamed answer is complete."""
-        self.stream = None
+    def _end_reset_if_killed(self) -> None:
         if self._resets_if_killed:
             self._resets_if_killed = False
             reset_on_close(self.link, False)
+
+    def stream_finished(self) -> None:
+        """The streamed answer is complete."""
+        self.stream = None
+        self._end_reset_if_killed()
         if not self.lost:
             self.owner.used(self)
             # Its head has told the client to go on: what it has sent behind the request is answered too.
@@ -512,6 +515,7 @@
         The caller ends the hold of the request's id once it has sent that state.
         """
         assert self.stream is not None
+        self._end_reset_if_killed()  # the option would stay with the descriptor
         state = ClientStreamState(
             self.stream.chunked,
             self._keep_alive,
--- a/tests/http/test_stream_moves.py
+++ b/tests/http/test_stream_moves.py
@@ -76,3 +76,30 @@
             rig.turn()
             client.read()
         assert rig.until(lambda: body_of(client.read()) == BODY)
+
+
+def test_a_moved_answer_that_only_its_close_ends_is_not_reset_by_the_next_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a whole answer that is reset, as the process before had prepared for its kill."""
+    moved: Moved = []
+    successor = SimpleNamespace(backlogged=False, takes_unsent_output=True)
+    monkeypatch.setattr(Handover, "successor", property(lambda self: successor))
+    monkeypatch.setattr(Handover, "hand_over_answer", lambda self, *handed: moved.append(handed))
+    with gateway_rig() as rig:
+        client = rig.client()
+        client.send(rig.request("large").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        node_end = rig.nodes[0].wait_for("large")
+        node_end.send(b"HTTP/1.0 200 OK\r\n\r\n" + BODY[:100_000])
+        assert rig.until(lambda: len(body_of(client.read())) == 100_000)
+        rig.gateway.reset_streams_if_killed()
+        rig.gateway.hand_over_answers()
+        ((descriptors, state),) = moved
+        rig.gateway.continue_answer(descriptors, state)
+        (connection,) = rig.gateway.front.streams
+        linger = connection.link.socket.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+        assert linger[:4] == bytes(4)
+        node_end.send(BODY[100_000:])
+        node_end.fin()
+        assert rig.until(client.closed) and not client.was_reset
+        assert body_of(client.text) == BODY
